--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# make demo and make test are the two commands of the README.
+
+GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
+REVIVE = go run github.com/mgechev/revive@v1.17.0
+
+.PHONY: build test lint format generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+# lint fails on any file that gofumpt would change, on vet's and on revive's findings.
+lint:
+	go vet ./...
+	@unformatted="$$($(GOFUMPT) -l cmd internal pkg)"; \
+	if [ -n "$$unformatted" ]; then echo "run 'make format': $$unformatted"; exit 1; fi
+	$(REVIVE) -config revive.toml -set_exit_status ./...
+
+format:
+	$(GOFUMPT) -w cmd internal pkg
+
+# generate needs protoc (Debian's protobuf-compiler) and protoc-gen-go; its
+# output is committed, so that a build needs neither.
+generate:
+	protoc --go_out=. --go_opt=module=github.com/chivespool/chivespool internal/encoder/*.proto
--- /dev/null
+++ b/cmd/chivespoold/main.go
@@ -0,0 +1,4 @@
+// Command chivespoold is the daemon of an entry host.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/connector/connector.go
@@ -0,0 +1,81 @@
+// Package connector is the client of the platform: its key-value store and its
+// host list, both met over HTTP with JSON as docs/PLATFORM.md describes. It
+// counts every call that it makes.
+//
+// Users declare the small interface that they need at their own side; [Store]
+// and [HostList] satisfy them.
+package connector
+
+import "fmt"
+
+// Entry is one key's value in the store.
+type Entry struct {
+	data []byte
+	// version rises with each write of the key; 0 means that it doesn't exist.
+	version uint64
+}
+
+// NewEntry returns an entry.
+func NewEntry(data []byte, version uint64) Entry { return Entry{data: data, version: version} }
+
+// Data returns the value; callers must not change it.
+func (entry Entry) Data() []byte { return entry.data }
+
+// Version returns the version, which is 0 where the key doesn't exist.
+func (entry Entry) Version() uint64 { return entry.version }
+
+// ErrorKind sorts the store's failures by what a caller may conclude.
+type ErrorKind int
+
+const (
+	// Unknown means that a write may or may not have taken effect: read back.
+	Unknown ErrorKind = iota
+	// Unavailable means that the call surely had no effect.
+	Unavailable
+	// Conflict means that the key is at another version; nothing was written.
+	Conflict
+	// Unchanged means that a watch ended with the key at the version given.
+	Unchanged
+	// TooLarge means that the value is over the store's bound of 1 MB.
+	TooLarge
+)
+
+// String returns the kind in kebab case.
+func (kind ErrorKind) String() string {
+	return [...]string{"unknown", "unavailable", "conflict", "unchanged", "too-large"}[kind]
+}
+
+// Error is a failed call to the platform.
+type Error struct {
+	kind      ErrorKind
+	operation string
+	cause     error
+}
+
+// NewError returns the failure of operation; cause may be nil.
+func NewError(kind ErrorKind, operation string, cause error) *Error {
+	return &Error{kind: kind, operation: operation, cause: cause}
+}
+
+// Kind returns what a caller may conclude.
+func (err *Error) Kind() ErrorKind { return err.kind }
+
+// Unwrap returns the cause, or nil.
+func (err *Error) Unwrap() error { return err.cause }
+
+// Error names the operation, the kind and the remedy.
+func (err *Error) Error() string {
+	text := fmt.Sprintf("platform: %s: %s; %s", err.operation, err.kind, platformRemedies[err.kind])
+	if err.cause != nil {
+		text += ": " + err.cause.Error()
+	}
+	return text
+}
+
+var platformRemedies = map[ErrorKind]string{
+	Unknown:     "read the key back to learn whether the write took effect",
+	Unavailable: "try again later; the call had no effect",
+	Conflict:    "read the key again and redo the change on the newer value",
+	Unchanged:   "watch again",
+	TooLarge:    "split the value; the store holds up to 1 MB",
+}
--- /dev/null
+++ b/internal/definer/rule.go
@@ -0,0 +1,121 @@
+package definer
+
+import (
+	"strings"
+	"time"
+)
+
+// Lane separates long work from short work.
+type Lane int
+
+// The lanes. The zero value is Short.
+const (
+	Short Lane = iota
+	Long
+)
+
+// String returns short or long.
+func (lane Lane) String() string {
+	if lane == Long {
+		return "long"
+	}
+	return "short"
+}
+
+// DefaultPriority is the priority of a request that no rule gives one.
+const DefaultPriority = 5
+
+// A Rule says how the requests of a service that it matches are treated. The
+// rule with the longest matching path prefix wins; at equal length one that
+// names the method wins, then the first by name.
+type Rule struct {
+	name    string
+	service string
+	// method is an HTTP method, or empty for any.
+	method string
+	// prefix is a path prefix; empty matches every path.
+	prefix string
+	// repeatable is true when a matching request may run more than once.
+	repeatable bool
+	lane       Lane
+	// priority is 0 (shed first) to 9 (shed last).
+	priority int
+	// deadline bounds a request that brings no deadline of its own; 0 for none.
+	deadline time.Duration
+}
+
+// RuleOption sets one property of a new rule.
+type RuleOption func(*Rule)
+
+// Repeatable lets matching requests run more than once, or not.
+func Repeatable(repeatable bool) RuleOption {
+	return func(rule *Rule) { rule.repeatable = repeatable }
+}
+
+// InLane puts matching requests in lane.
+func InLane(lane Lane) RuleOption { return func(rule *Rule) { rule.lane = lane } }
+
+// WithPriority gives matching requests a priority from 0 (shed first) to 9.
+func WithPriority(priority int) RuleOption { return func(rule *Rule) { rule.priority = priority } }
+
+// WithDeadline bounds matching requests that bring no deadline of their own.
+func WithDeadline(deadline time.Duration) RuleOption {
+	return func(rule *Rule) { rule.deadline = deadline }
+}
+
+// NewRule returns a rule for requests of service with method (empty for any)
+// and a path that begins with prefix. Without options they are not repeatable,
+// short, and of DefaultPriority.
+func NewRule(name, service, method, prefix string, options ...RuleOption) Rule {
+	rule := Rule{name: name, service: service, method: method, prefix: prefix, priority: DefaultPriority}
+	for _, option := range options {
+		option(&rule)
+	}
+	return rule
+}
+
+// Name returns the rule's name, unique in the configuration.
+func (rule Rule) Name() string { return rule.name }
+
+// Service returns the name of the service that the rule belongs to.
+func (rule Rule) Service() string { return rule.service }
+
+// Method returns the HTTP method that the rule matches, or empty for any.
+func (rule Rule) Method() string { return rule.method }
+
+// Prefix returns the path prefix that the rule matches.
+func (rule Rule) Prefix() string { return rule.prefix }
+
+// Repeatable reports whether matching requests may run more than once.
+func (rule Rule) Repeatable() bool { return rule.repeatable }
+
+// Lane returns the lane of matching requests.
+func (rule Rule) Lane() Lane { return rule.lane }
+
+// Priority returns 0 (shed first) to 9 (shed last).
+func (rule Rule) Priority() int { return rule.priority }
+
+// Deadline returns the bound for requests that bring none of their own, or 0.
+func (rule Rule) Deadline() time.Duration { return rule.deadline }
+
+// matches reports whether the rule is for this request.
+func (rule Rule) matches(service, method, path string) bool {
+	if rule.service != service {
+		return false
+	}
+	if rule.method != "" && rule.method != method {
+		return false
+	}
+	return strings.HasPrefix(path, rule.prefix)
+}
+
+// before reports whether rule wins over other where both match.
+func (rule Rule) before(other Rule) bool {
+	if len(rule.prefix) != len(other.prefix) {
+		return len(rule.prefix) > len(other.prefix)
+	}
+	if (rule.method != "") != (other.method != "") {
+		return rule.method != ""
+	}
+	return rule.name < other.name
+}
--- /dev/null
+++ b/internal/supervisor/supervisor.go
@@ -0,0 +1,194 @@
+// Package supervisor runs a process as a tree of tasks. A [Tree] starts its
+// children in order, restarts those that fail, gives up on a child that fails
+// too often, and stops all in the reverse order of their start. A Tree is
+// itself a [Task], so trees nest and a failure goes up one level at a time.
+//
+// Each level is a group of oklog/run, which ends every actor when one ends.
+package supervisor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"k8s.io/klog/v2"
+)
+
+// The default restart intensity: a child that fails more than MaxRestarts
+// times within RestartWindow takes its Tree down with it.
+const (
+	MaxRestarts    = 5
+	RestartWindow  = 10 * time.Second
+	restartBackoff = 100 * time.Millisecond
+)
+
+// Task is a unit of work under a Tree.
+type Task interface {
+	// Run works until ctx is done, then cleans up and returns nil or ctx's
+	// error. A return before that is a failure, also where the error is nil.
+	Run(ctx context.Context) error
+}
+
+// RestartError says that a child failed too often.
+type RestartError struct {
+	child string
+	count int
+	cause error
+}
+
+// Child returns the name of the child that failed.
+func (err *RestartError) Child() string { return err.child }
+
+// Unwrap returns the child's last failure.
+func (err *RestartError) Unwrap() error { return err.cause }
+
+// Error names the child, how often it failed, and the remedy.
+func (err *RestartError) Error() string {
+	return fmt.Sprintf("%s failed %d times within %v; mend the cause and start the process again: %v",
+		err.child, err.count, RestartWindow, err.cause)
+}
+
+// Tree supervises its children. The zero value is an empty tree that is ready
+// for Add.
+type Tree struct {
+	// mu guards children and cancel.
+	mu       sync.Mutex
+	children []*child
+	// cancel ends the current Run; nil while none is on.
+	cancel context.CancelFunc
+	// running counts the Runs that are on, for Close to wait on.
+	running sync.WaitGroup
+}
+
+// Add appends a child; children start in the order of Add. Adding to a tree
+// that runs already has no effect on that run.
+func (tree *Tree) Add(name string, task Task) {
+	tree.mu.Lock()
+	defer tree.mu.Unlock()
+	tree.children = append(tree.children, &child{name: name, task: task})
+}
+
+// Run starts the children in order and waits. When ctx is done it stops them
+// in reverse order, each only after the one before has ended, and returns nil.
+// When a child fails too often, it stops the others and returns a
+// [RestartError].
+func (tree *Tree) Run(ctx context.Context) error {
+	tree.running.Add(1)
+	defer tree.running.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tree.mu.Lock()
+	children := tree.children
+	tree.cancel = cancel
+	tree.mu.Unlock()
+
+	var group run.Group
+	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { cancel() })
+	// run.Group interrupts its actors in the order of Add, so the last child
+	// to start is added first; each interrupt waits for its actor's end.
+	started := make(chan struct{})
+	close(started)
+	actors := make([]*actor, 0, len(children))
+	for _, child := range children {
+		actor := newActor(child, started)
+		started = actor.started
+		actors = append(actors, actor)
+	}
+	for index := len(actors) - 1; index >= 0; index-- {
+		group.Add(actors[index].execute, actors[index].interrupt)
+	}
+	return group.Run()
+}
+
+// Close ends the Run that is on, if any, and waits for its end.
+func (tree *Tree) Close() error {
+	tree.mu.Lock()
+	cancel := tree.cancel
+	tree.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	tree.running.Wait()
+	return nil
+}
+
+// child is a task with its name.
+type child struct {
+	name string
+	task Task
+}
+
+// actor is one child during one Run of a tree.
+type actor struct {
+	*child
+	ctx    context.Context
+	cancel context.CancelFunc
+	// after is closed once the child before this one was started.
+	after <-chan struct{}
+	// started is closed once this child was started.
+	started chan struct{}
+	// done is closed once this child has ended for good.
+	done chan struct{}
+	// failures holds the times of failures within RestartWindow.
+	failures []time.Time
+}
+
+func newActor(child *child, after <-chan struct{}) *actor {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &actor{
+		child: child, ctx: ctx, cancel: cancel, after: after,
+		started: make(chan struct{}), done: make(chan struct{}),
+	}
+}
+
+// execute runs the child, again after each failure, until it is interrupted
+// or has failed too often.
+func (actor *actor) execute() error {
+	defer close(actor.done)
+	<-actor.after
+	close(actor.started)
+	for actor.ctx.Err() == nil {
+		err := actor.task.Run(actor.ctx)
+		if actor.ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			err = fmt.Errorf("ended before it was told to")
+		}
+		klog.ErrorS(err, "child failed", "child", actor.name)
+		if count := actor.count(time.Now()); count > MaxRestarts {
+			return &RestartError{child: actor.name, count: count, cause: err}
+		}
+		actor.pause()
+	}
+	return nil
+}
+
+// interrupt stops the child and waits for its end.
+func (actor *actor) interrupt(error) {
+	actor.cancel()
+	<-actor.done
+}
+
+// count adds a failure at now and returns how many fall in RestartWindow.
+func (actor *actor) count(now time.Time) int {
+	recent := actor.failures[:0]
+	for _, failure := range actor.failures {
+		if now.Sub(failure) < RestartWindow {
+			recent = append(recent, failure)
+		}
+	}
+	actor.failures = append(recent, now)
+	return len(actor.failures)
+}
+
+func (actor *actor) pause() {
+	timer := time.NewTimer(restartBackoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-actor.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/supervisor/supervisor_test.go
@@ -0,0 +1,118 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// journal notes what happened, in order.
+type journal struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (journal *journal) add(line string) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	journal.lines = append(journal.lines, line)
+}
+
+func (journal *journal) want(t *testing.T, want ...string) {
+	t.Helper()
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if !slices.Equal(journal.lines, want) {
+		t.Fatalf("got %q, want %q", journal.lines, want)
+	}
+}
+
+// task notes its start and end; it fails at once where err is set.
+type task struct {
+	journal *journal
+	name    string
+	err     error
+}
+
+func (task *task) Run(ctx context.Context) error {
+	task.journal.add("start " + task.name)
+	if task.err != nil {
+		return task.err
+	}
+	<-ctx.Done()
+	task.journal.add("stop " + task.name)
+	return nil
+}
+
+func TestStopsInReverseOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var journal journal
+		var tree Tree
+		for _, name := range []string{"a", "b", "c"} {
+			tree.Add(name, &task{journal: &journal, name: name})
+		}
+		result := make(chan error, 1)
+		go func() { result <- tree.Run(t.Context()) }()
+		synctest.Wait()
+		if err := tree.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-result; err != nil {
+			t.Fatalf("Run: %v", err)
+		}
+		journal.want(t, "start a", "start b", "start c", "stop c", "stop b", "stop a")
+	})
+}
+
+func TestFailureGoesUpAfterTooManyRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var journal journal
+		broken := errors.New("broken")
+		var inner, outer Tree
+		inner.Add("bad", &task{journal: &journal, name: "bad", err: broken})
+		outer.Add("inner", &inner)
+		err := outer.Run(t.Context())
+		var restart *RestartError
+		if !errors.As(err, &restart) || restart.Child() != "inner" || !errors.Is(err, broken) {
+			t.Fatalf("got %v, want a RestartError of inner that wraps broken", err)
+		}
+		if got, want := len(journal.lines), (MaxRestarts+1)*(MaxRestarts+1); got != want {
+			t.Fatalf("bad started %d times, want %d", got, want)
+		}
+	})
+}
+
+// flaky fails once every RestartWindow, which is never too often.
+type flaky struct{ failures int }
+
+func (flaky *flaky) Run(ctx context.Context) error {
+	timer := time.NewTimer(RestartWindow)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		flaky.failures++
+		return errors.New("again")
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func TestSlowFailuresRestartForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var flaky flaky
+		var tree Tree
+		tree.Add("flaky", &flaky)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*RestartWindow)
+		defer cancel()
+		if err := tree.Run(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if flaky.failures < 2*MaxRestarts {
+			t.Fatalf("restarted %d times, want at least %d", flaky.failures, 2*MaxRestarts)
+		}
+	})
+}
