messenger, encoder: peer links over yamux with protobuf, thin

A Hello each way checks version, fleet, name, incarnation and, with TLS, the certificate's name. Failed calls say whether the request may have been delivered.

--- /dev/null
+++ b/internal/messenger/call.go
@@ -0,0 +1,121 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+)
+
+var (
+	errUnknownHost = errors.New("no such host is known")
+	errStopped     = errors.New("this host stops")
+	errSaturated   = errors.New("too many calls to the host at a time")
+)
+
+// maxOpenTries bounds how many links a call tries that take no new stream.
+const maxOpenTries = 2
+
+// Call sends request to host and returns its reply. Every failure is an
+// [Error]; where ctx ended, it wraps ctx's error.
+func (messenger *Messenger) Call(ctx context.Context, host string, request *encoder.Request) (*encoder.Reply, error) {
+	peer, run := messenger.peerNamed(host)
+	if peer == nil {
+		return nil, &Error{kind: Unreachable, host: host, cause: errUnknownHost}
+	}
+	var cause error
+	for range maxOpenTries {
+		link, err := peer.link(ctx, run)
+		if err != nil {
+			return nil, &Error{kind: Unreachable, host: host, cause: err}
+		}
+		conn, err := link.open()
+		if err == nil {
+			return link.call(ctx, conn, request)
+		}
+		cause = err
+		if !errors.Is(err, errSaturated) {
+			peer.remove(link)
+		}
+	}
+	return nil, &Error{kind: Unreachable, host: host, cause: cause}
+}
+
+// peerNamed returns the peer called name, or nil, and the context of the Run
+// that is on.
+func (messenger *Messenger) peerNamed(name string) (*peer, context.Context) {
+	messenger.mu.Lock()
+	defer messenger.mu.Unlock()
+	if messenger.ctx == nil {
+		return nil, nil
+	}
+	return messenger.peers[name], messenger.ctx
+}
+
+// reportDown tells that the last link with host died.
+func (messenger *Messenger) reportDown(host string) {
+	messenger.mu.Lock()
+	down := messenger.down
+	messenger.mu.Unlock()
+	for _, report := range down {
+		report(host)
+	}
+}
+
+// open makes a stream for one call.
+func (link *link) open() (*yamux.Stream, error) {
+	if link.session.NumStreams() >= maxStreams {
+		return nil, errSaturated
+	}
+	return link.session.OpenStream()
+}
+
+// call sends request over conn and waits for the reply.
+func (link *link) call(ctx context.Context, conn *yamux.Stream, request *encoder.Request) (*encoder.Reply, error) {
+	link.touch()
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	stamped := &encoder.Request{Stamp: link.peer.messenger.stamp(), Body: request.GetBody()}
+	reply := new(encoder.Reply)
+	err := link.exchange(conn, stamped, reply)
+	if err == nil {
+		link.peer.messenger.observe(reply.GetStamp())
+		return reply, link.failure(reply.GetFailure())
+	}
+	var frameError *FrameError
+	kind := Broken
+	if errors.As(err, &frameError) && proto.Size(stamped) > maxFrameBytes {
+		kind = Unreachable
+	}
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return nil, &Error{kind: kind, host: link.peer.name, cause: err}
+}
+
+// exchange writes one frame and reads one.
+func (link *link) exchange(conn *yamux.Stream, request *encoder.Request, reply *encoder.Reply) error {
+	if err := writeFrame(conn, request, maxFrameBytes); err != nil {
+		return err
+	}
+	return readFrame(conn, reply, maxFrameBytes)
+}
+
+// failure turns the peer's failure into an error.
+func (link *link) failure(failure *encoder.Failure) error {
+	if failure == nil {
+		return nil
+	}
+	kind := Failed
+	if failure.GetNotRun() {
+		kind = Refused
+	}
+	return &Error{
+		kind: kind, host: link.peer.name, reason: failure.GetKind(),
+		cause: errors.New(failure.GetText()),
+	}
+}
--- /dev/null
+++ b/internal/messenger/credentials.go
@@ -0,0 +1,129 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// CredentialsError says that links can't be secured.
+type CredentialsError struct {
+	text  string
+	cause error
+}
+
+// Unwrap returns the cause, or nil.
+func (err *CredentialsError) Unwrap() error { return err.cause }
+
+// Error names the cause and the remedy.
+func (err *CredentialsError) Error() string {
+	text := "peer credentials: " + err.text + "; set key, certificate and authority files of this host"
+	if err.cause != nil {
+		text += ": " + err.cause.Error()
+	}
+	return text
+}
+
+// Credentials are the key, the certificate and the authority that links use.
+// The files are read again when they change; while new files can't be used, the
+// old ones stay in use.
+type Credentials struct {
+	key, certificate, authority string
+	// mu guards the fields below.
+	mu      sync.Mutex
+	pair    tls.Certificate
+	pool    *x509.CertPool
+	changed [3]time.Time
+	failure error
+}
+
+// NewCredentials reads the three PEM files.
+func NewCredentials(key, certificate, authority string) (*Credentials, error) {
+	credentials := &Credentials{key: key, certificate: certificate, authority: authority}
+	return credentials, credentials.load(credentials.stat())
+}
+
+// Failure returns why changed files can't be used, or nil.
+func (credentials *Credentials) Failure() error {
+	credentials.mu.Lock()
+	defer credentials.mu.Unlock()
+	return credentials.failure
+}
+
+// stat returns when the files changed last.
+func (credentials *Credentials) stat() (changed [3]time.Time) {
+	for index, path := range []string{credentials.key, credentials.certificate, credentials.authority} {
+		if info, err := os.Stat(path); err == nil {
+			changed[index] = info.ModTime()
+		}
+	}
+	return changed
+}
+
+// load reads the files, which changed at changed.
+func (credentials *Credentials) load(changed [3]time.Time) error {
+	pair, err := tls.LoadX509KeyPair(credentials.certificate, credentials.key)
+	if err != nil {
+		return &CredentialsError{text: "key and certificate can't be used", cause: err}
+	}
+	bytes, err := os.ReadFile(credentials.authority)
+	if err != nil {
+		return &CredentialsError{text: "the authority can't be read", cause: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(bytes) {
+		return &CredentialsError{text: "the authority file holds no certificate"}
+	}
+	credentials.pair, credentials.pool, credentials.changed = pair, pool, changed
+	return nil
+}
+
+// config returns the settings of one handshake, from the files as they are now.
+func (credentials *Credentials) config() *tls.Config {
+	credentials.mu.Lock()
+	defer credentials.mu.Unlock()
+	if changed := credentials.stat(); changed != credentials.changed {
+		credentials.failure = credentials.load(changed)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{credentials.pair},
+		RootCAs:      credentials.pool,
+		ClientCAs:    credentials.pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}
+}
+
+// client secures a connection to the host called name, which it verifies.
+func (credentials *Credentials) client(ctx context.Context, conn net.Conn, name string) (net.Conn, error) {
+	config := credentials.config()
+	config.ServerName = name
+	secured := tls.Client(conn, config)
+	return secured, secured.HandshakeContext(ctx)
+}
+
+// server secures a connection that came in.
+func (credentials *Credentials) server(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	secured := tls.Server(conn, credentials.config())
+	return secured, secured.HandshakeContext(ctx)
+}
+
+var errNoCertificate = errors.New("the peer showed no certificate")
+
+// verifyName checks that the peer's certificate is for the host called name.
+func verifyName(conn net.Conn, name string) error {
+	secured, ok := conn.(*tls.Conn)
+	if !ok || len(secured.ConnectionState().PeerCertificates) == 0 {
+		return &CredentialsError{text: "a stranger", cause: errNoCertificate}
+	}
+	if err := secured.ConnectionState().PeerCertificates[0].VerifyHostname(name); err != nil {
+		return fmt.Errorf("a name that its certificate does not bear: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/messenger/frame.go
@@ -0,0 +1,73 @@
+package messenger
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds on frames. A value of the store holds up to 1 MB.
+const (
+	maxFrameBytes      = 1<<20 + 64<<10
+	maxHelloFrameBytes = 4 << 10
+	frameHeaderBytes   = 4
+)
+
+// FrameError says that what a peer sent is not a message.
+type FrameError struct {
+	text  string
+	cause error
+}
+
+// Unwrap returns the cause, or nil.
+func (err *FrameError) Unwrap() error { return err.cause }
+
+// Error names what was wrong and the remedy.
+func (err *FrameError) Error() string {
+	text := "not a message of this protocol: " + err.text + "; check that the peer runs chivespoold"
+	if err.cause != nil {
+		text += ": " + err.cause.Error()
+	}
+	return text
+}
+
+// writeFrame sends message with its length before it, in one write.
+func writeFrame(writer io.Writer, message proto.Message, most int) error {
+	frame, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, frameHeaderBytes, 128), message)
+	if err != nil {
+		return &FrameError{text: "can't be encoded", cause: err}
+	}
+	size := len(frame) - frameHeaderBytes
+	if size > most {
+		return &FrameError{text: fmt.Sprintf("%d bytes to send, at most %d allowed", size, most)}
+	}
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	_, err = writer.Write(frame)
+	return err
+}
+
+// readFrame receives one message of up to most bytes. The memory that it takes
+// grows with what arrives, not with the length that the peer claims.
+func readFrame(reader io.Reader, message proto.Message, most int) error {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return err
+	}
+	size := int64(binary.BigEndian.Uint32(header[:]))
+	if size > int64(most) {
+		return &FrameError{text: fmt.Sprintf("a length of %d bytes, at most %d allowed", size, most)}
+	}
+	body, err := io.ReadAll(io.LimitReader(reader, size))
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) < size {
+		return io.ErrUnexpectedEOF
+	}
+	if err := proto.Unmarshal(body, message); err != nil {
+		return &FrameError{text: "its bytes can't be decoded", cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/messenger/hello.go
@@ -0,0 +1,190 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/encoder"
+)
+
+// handshakeTimeout bounds TLS and the two Hello messages of a new connection.
+const handshakeTimeout = 3 * time.Second
+
+// maxNameBytes bounds the names that a Hello brings.
+const maxNameBytes = 128
+
+// RefusalError says that a peer is not talked to, and why.
+type RefusalError struct{ reason string }
+
+// Error names the reason and the remedy.
+func (err *RefusalError) Error() string {
+	return "refused by the protocol: " + err.reason + "; mend that on the side that is refused"
+}
+
+// hello returns what this host says of itself first.
+func (messenger *Messenger) hello() *encoder.Hello {
+	stamp := messenger.stamp()
+	messenger.mu.Lock()
+	defer messenger.mu.Unlock()
+	return &encoder.Hello{
+		Version: encoder.PeerVersion, Fleet: messenger.fleet, Host: messenger.self.Name(),
+		Incarnation: messenger.self.Incarnation(), Region: messenger.self.Place().Region(),
+		DataCentre: messenger.self.Place().DataCentre(), Stamp: stamp,
+	}
+}
+
+// check returns why the sender of hello is refused, or nil.
+func (messenger *Messenger) check(conn net.Conn, hello *encoder.Hello) error {
+	messenger.mu.Lock()
+	defer messenger.mu.Unlock()
+	switch {
+	case hello.GetVersion() < encoder.PeerVersionOldest:
+		return &RefusalError{fmt.Sprintf("protocol version %d is too old, %d is the oldest that is spoken",
+			hello.GetVersion(), encoder.PeerVersionOldest)}
+	case hello.GetHost() == "" || len(hello.GetHost()) > maxNameBytes:
+		return &RefusalError{"a host name that is empty or too long"}
+	case hello.GetFleet() != messenger.fleet:
+		return &RefusalError{fmt.Sprintf("fleet %q, this is a host of fleet %q", hello.GetFleet(), messenger.fleet)}
+	case hello.GetHost() == messenger.self.Name():
+		return &RefusalError{"the name of this host, which another one uses"}
+	case messenger.credentials == nil && !loopback(conn.RemoteAddr().String()):
+		return &RefusalError{"a plain link that is not on loopback"}
+	case messenger.credentials != nil:
+		return verifyName(conn, hello.GetHost())
+	}
+	return nil
+}
+
+// dial connects to host and exchanges Hello messages.
+func (messenger *Messenger) dial(ctx context.Context, host definer.Host) (net.Conn, *encoder.Hello, error) {
+	if messenger.getCredentials() == nil && !loopback(host.PeerAddress()) {
+		return nil, nil, &CredentialsError{text: "plain links are only for loopback, not for " + host.PeerAddress()}
+	}
+	conn, err := messenger.getNetwork().Dial(ctx, host.PeerAddress())
+	if err != nil {
+		return nil, nil, err
+	}
+	secured, hello, err := messenger.greet(ctx, conn, host.Name())
+	if err != nil {
+		conn.Close()
+		return nil, nil, err
+	}
+	return secured, hello, nil
+}
+
+// greet is the dialling side of the handshake.
+func (messenger *Messenger) greet(ctx context.Context, conn net.Conn, name string) (net.Conn, *encoder.Hello, error) {
+	conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if credentials := messenger.getCredentials(); credentials != nil {
+		var err error
+		if conn, err = credentials.client(ctx, conn, name); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err := writeFrame(conn, messenger.hello(), maxHelloFrameBytes); err != nil {
+		return nil, nil, err
+	}
+	hello := new(encoder.Hello)
+	if err := readFrame(conn, hello, maxHelloFrameBytes); err != nil {
+		return nil, nil, err
+	}
+	if hello.GetRefusal() != "" {
+		return nil, nil, &RefusalError{hello.GetRefusal()}
+	}
+	err := messenger.check(conn, hello)
+	if err == nil && hello.GetHost() != name {
+		err = &RefusalError{fmt.Sprintf("host %q answers at the address of %q", hello.GetHost(), name)}
+	}
+	if err != nil {
+		messenger.refuse(name, err.Error())
+		return nil, nil, err
+	}
+	messenger.observe(hello.GetStamp())
+	return conn, hello, conn.SetDeadline(time.Time{})
+}
+
+// visitor is a connection that came in.
+type visitor struct {
+	messenger *Messenger
+	conn      net.Conn
+}
+
+// run shakes hands, and keeps the link until it ends.
+func (visitor *visitor) run(ctx context.Context) {
+	messenger := visitor.messenger
+	defer messenger.wait.Done()
+	defer func() { <-messenger.inbound }()
+	link, err := visitor.greet(ctx)
+	if err != nil {
+		visitor.conn.Close()
+		if ctx.Err() == nil {
+			messenger.refuse(visitor.conn.RemoteAddr().String(), err.Error())
+		}
+		return
+	}
+	messenger.wait.Add(1)
+	link.run(ctx)
+}
+
+// greet is the accepting side of the handshake.
+func (visitor *visitor) greet(ctx context.Context) (*link, error) {
+	messenger := visitor.messenger
+	conn := visitor.conn
+	conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	stop := context.AfterFunc(ctx, func() { visitor.conn.Close() })
+	defer stop()
+	if credentials := messenger.getCredentials(); credentials != nil {
+		var err error
+		if conn, err = credentials.server(ctx, conn); err != nil {
+			return nil, fmt.Errorf("a stranger: %w", err)
+		}
+	}
+	hello := new(encoder.Hello)
+	if err := readFrame(conn, hello, maxHelloFrameBytes); err != nil {
+		return nil, fmt.Errorf("no greeting: %w", err)
+	}
+	answer := messenger.hello()
+	peer, err := messenger.admit(conn, hello)
+	if err != nil {
+		answer.Refusal = err.Error()
+		return nil, errors.Join(err, writeFrame(conn, answer, maxHelloFrameBytes))
+	}
+	if err := writeFrame(conn, answer, maxHelloFrameBytes); err != nil {
+		return nil, err
+	}
+	messenger.observe(hello.GetStamp())
+	return visitor.open(conn, peer, hello)
+}
+
+// open makes the link of a peer that was admitted.
+func (visitor *visitor) open(conn net.Conn, peer *peer, hello *encoder.Hello) (*link, error) {
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	link, err := newLink(peer, conn, hello, false)
+	if err != nil {
+		return nil, err
+	}
+	if err := peer.add(link); err != nil {
+		link.abort()
+		return nil, err
+	}
+	return link, nil
+}
+
+// admit returns the peer that hello comes from, or why it is refused.
+func (messenger *Messenger) admit(conn net.Conn, hello *encoder.Hello) (*peer, error) {
+	if err := messenger.check(conn, hello); err != nil {
+		return nil, err
+	}
+	messenger.mu.Lock()
+	defer messenger.mu.Unlock()
+	peer := messenger.ensure(hello.GetHost())
+	return peer, peer.admissible(hello.GetIncarnation())
+}
--- /dev/null
+++ b/internal/messenger/link.go
@@ -0,0 +1,171 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/hashicorp/yamux"
+)
+
+// Bounds on a link.
+const (
+	// maxStreams bounds the calls that one link serves or makes at a time.
+	maxStreams        = 256
+	keepAliveInterval = 10 * time.Second
+	writeTimeout      = 3 * time.Second
+	// streamOpenTimeout ends a link whose peer takes no new calls, as a
+	// process does that was stopped.
+	streamOpenTimeout  = 5 * time.Second
+	streamCloseTimeout = 30 * time.Second
+	// idleTimeout is how long the side that dialled keeps an unused link.
+	idleTimeout = 5 * time.Minute
+)
+
+// link is one open connection with a peer; both sides make calls over it.
+type link struct {
+	peer        *peer
+	incarnation uint64
+	// dialled is true on the side that opened the connection.
+	dialled bool
+	session *yamux.Session
+	// ctx ends with the link; calls that are served hang on it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// used is when the link last carried a call, in nanoseconds since 1970.
+	used atomic.Int64
+	// parted is true once the peer said that it closes the link as idle.
+	parted atomic.Bool
+	// serving has one item for each stream that is served.
+	serving chan struct{}
+	wait    sync.WaitGroup
+}
+
+func newLink(peer *peer, conn net.Conn, hello *encoder.Hello, dialled bool) (*link, error) {
+	config := yamux.DefaultConfig()
+	config.AcceptBacklog = maxStreams
+	config.KeepAliveInterval = keepAliveInterval
+	config.ConnectionWriteTimeout = writeTimeout
+	config.StreamOpenTimeout = streamOpenTimeout
+	config.StreamCloseTimeout = streamCloseTimeout
+	config.LogOutput = io.Discard
+	open := yamux.Server
+	if dialled {
+		open = yamux.Client
+	}
+	session, err := open(conn, config)
+	if err != nil {
+		return nil, err
+	}
+	link := &link{
+		peer: peer, incarnation: hello.GetIncarnation(), dialled: dialled, session: session,
+		serving: make(chan struct{}, maxStreams),
+	}
+	link.ctx, link.cancel = context.WithCancel(context.Background())
+	link.touch()
+	return link, nil
+}
+
+// run serves the peer's calls until the link ends, or until ctx is done and
+// the calls in progress have ended.
+func (link *link) run(ctx context.Context) {
+	messenger := link.peer.messenger
+	defer messenger.wait.Done()
+	messenger.record(link.peer.name, "link is up")
+	err := link.serve(ctx)
+	if ctx.Err() != nil || errors.Is(err, errIdle) {
+		link.drain()
+	}
+	link.abort()
+	link.wait.Wait()
+	if !link.peer.remove(link) || ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, errIdle) || link.parted.Load() {
+		messenger.record(link.peer.name, "link is closed, idle")
+		return
+	}
+	messenger.record(link.peer.name, "last link is down: "+err.Error())
+	messenger.reportDown(link.peer.name)
+}
+
+var (
+	errIdle     = errors.New("idle")
+	errReplaced = errors.New("the host started again")
+)
+
+// serve starts one task for each call of the peer; it returns why it ends.
+func (link *link) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(link.ctx, cancel)
+	defer stop()
+	for {
+		accept, release := context.WithTimeout(ctx, idleTimeout)
+		conn, err := link.session.AcceptStreamWithContext(accept)
+		release()
+		switch {
+		case err == nil:
+			link.start(conn)
+		case link.ctx.Err() != nil:
+			return errReplaced
+		case !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil:
+			return err
+		case link.idle(time.Now()):
+			return errIdle
+		}
+	}
+}
+
+// start serves one stream, unless too many are served already.
+func (link *link) start(conn *yamux.Stream) {
+	link.touch()
+	select {
+	case link.serving <- struct{}{}:
+		link.wait.Add(1)
+		stream := &stream{link: link, conn: conn}
+		go stream.run()
+	default:
+		link.peer.messenger.refuse(link.peer.name, "too many calls at a time")
+		conn.Close()
+	}
+}
+
+// drain takes no more calls and waits for those in progress, within a bound.
+func (link *link) drain() {
+	if link.dialled && link.idle(time.Now()) {
+		link.farewell()
+	}
+	link.session.GoAway()
+	timer := time.NewTimer(drainTimeout)
+	defer timer.Stop()
+	for range maxStreams {
+		select {
+		case link.serving <- struct{}{}:
+		case <-link.session.CloseChan():
+			return
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// abort ends the link at once, and with it the calls over it.
+func (link *link) abort() {
+	link.cancel()
+	link.session.Close()
+}
+
+// touch notes that the link is used.
+func (link *link) touch() { link.used.Store(time.Now().UnixNano()) }
+
+// idle reports whether this side should close the link as unused.
+func (link *link) idle(now time.Time) bool {
+	used := time.Unix(0, link.used.Load())
+	return link.dialled && link.session.NumStreams() == 0 && now.Sub(used) >= idleTimeout
+}
--- /dev/null
+++ b/internal/messenger/stream.go
@@ -0,0 +1,107 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/hashicorp/yamux"
+)
+
+// requestTimeout bounds how long a peer may take to send a request it began.
+const requestTimeout = 5 * time.Second
+
+// stream is one call of a peer that is served.
+type stream struct {
+	link *link
+	conn *yamux.Stream
+}
+
+// run reads the request, has it handled, and sends the reply.
+func (stream *stream) run() {
+	link := stream.link
+	defer link.wait.Done()
+	defer func() { <-link.serving }()
+	defer stream.conn.Close()
+	stream.conn.SetReadDeadline(time.Now().Add(requestTimeout))
+	request := new(encoder.Request)
+	if err := readFrame(stream.conn, request, maxFrameBytes); err != nil {
+		stream.refuse(err)
+		return
+	}
+	link.peer.messenger.observe(request.GetStamp())
+	stream.conn.SetReadDeadline(time.Time{})
+	ctx, cancel := context.WithCancel(link.ctx)
+	defer cancel()
+	link.wait.Add(1)
+	go stream.loop(cancel)
+	reply := stream.handle(ctx, request)
+	reply.Stamp = link.peer.messenger.stamp()
+	if err := writeFrame(stream.conn, reply, maxFrameBytes); err != nil && ctx.Err() == nil {
+		link.peer.messenger.record(link.peer.name, "reply was not sent: "+err.Error())
+	}
+	stream.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// loop waits until the asking side closes the stream, then ends the call.
+func (stream *stream) loop(cancel context.CancelFunc) {
+	defer stream.link.wait.Done()
+	defer cancel()
+	var none [1]byte
+	stream.conn.Read(none[:])
+}
+
+// refuse ends the link of a peer that sends anything but messages.
+func (stream *stream) refuse(err error) {
+	var frameError *FrameError
+	if errors.As(err, &frameError) {
+		stream.link.peer.messenger.refuse(stream.link.peer.name, err.Error())
+		stream.link.cancel()
+	}
+}
+
+// handle returns the reply to request.
+func (stream *stream) handle(ctx context.Context, request *encoder.Request) *encoder.Reply {
+	messenger := stream.link.peer.messenger
+	from := stream.link.peer.name
+	if request.GetFarewell() != nil {
+		stream.link.parted.Store(true)
+		return new(encoder.Reply)
+	}
+	if digest := request.GetDigest(); digest != nil {
+		return messenger.handleDigest(from, digest)
+	}
+	handler := messenger.getHandler()
+	if handler == nil || request.GetBody() == nil {
+		return failed(NewError(Refused, "unknown-request", errors.New("nothing here answers it")))
+	}
+	reply, err := handler.Handle(ctx, from, request)
+	if err != nil {
+		return failed(err)
+	}
+	return &encoder.Reply{Body: reply.GetBody()}
+}
+
+// failed returns the reply that tells err.
+func failed(err error) *encoder.Reply {
+	failure := &encoder.Failure{Kind: "failed", Text: err.Error()}
+	var typed *Error
+	if errors.As(err, &typed) {
+		failure.Kind = typed.reason
+		failure.NotRun = typed.kind == Refused || typed.kind == Unreachable
+	}
+	return &encoder.Reply{Body: &encoder.Reply_Failure{Failure: failure}}
+}
+
+// farewell tells the peer that this side closes the link as idle.
+func (link *link) farewell() {
+	conn, err := link.open()
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(link.ctx, writeTimeout)
+	defer cancel()
+	body := &encoder.Request_Farewell{Farewell: new(encoder.Farewell)}
+	link.call(ctx, conn, &encoder.Request{Body: body})
+}
