--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,2 @@
+// Package keeper decides which endpoint of a pool takes the next request.
+package keeper
