connector, emulator: the platform's client and its stand-ins

The client of the store and of the host list over HTTP with JSON, and the stand-ins that chivesbench store and chivesbench host-list serve.

A write counts as unknown once a connection was given to its request; before that, and on a refusal that says so, it had no effect. net/http sends a write again only where no byte of it was written, so the client adds no replay of its own and sends no idempotency key.

--- /dev/null
+++ b/cmd/chivesbench/platform.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/chivespool/chivespool/internal/emulator"
+	"github.com/chivespool/chivespool/internal/supervisor"
+)
+
+func listenFlag(address string) cli.Flag {
+	return &cli.StringFlag{Name: "listen", Value: address, Usage: "IP:port to serve on"}
+}
+
+func storeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "store",
+		Usage: "stand in for the platform's key-value store",
+		Flags: []cli.Flag{listenFlag("127.0.0.1:7901")},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			var store emulator.Store
+			return serve(ctx, "store", command.String("listen"), store.Handler())
+		},
+	}
+}
+
+func hostListCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "host-list",
+		Usage: "stand in for the platform's list of hosts",
+		Flags: []cli.Flag{
+			listenFlag("127.0.0.1:7902"),
+			&cli.DurationFlag{Name: "lag", Usage: "how late changes show up"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			var hostList emulator.HostList
+			hostList.SetLag(command.Duration("lag"))
+			return serve(ctx, "host-list", command.String("listen"), hostList.Handler())
+		},
+	}
+}
+
+// serve runs one stand-in under a tree until ctx is done.
+func serve(ctx context.Context, name, address string, handler http.Handler) error {
+	listener, err := emulator.Listen(address, handler)
+	if err != nil {
+		return err
+	}
+	klog.InfoS("stand-in listens", "name", name, "address", listener.Address())
+	var tree supervisor.Tree
+	tree.Add(name, listener)
+	return tree.Run(ctx)
+}
--- /dev/null
+++ b/internal/connector/call.go
@@ -0,0 +1,196 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// DefaultTimeout bounds a call to the platform that has no tighter deadline; a
+// watch may take its wait on top.
+const DefaultTimeout = 2 * time.Second
+
+const (
+	// maxAnswerBytes bounds an answer: a value of 1 MB in base64, and some room.
+	maxAnswerBytes = 2 << 20
+	// maxIdleConnections is how many idle connections are kept to one service
+	// of the platform; more calls at once open more.
+	maxIdleConnections = 8
+	idleTimeout        = 60 * time.Second
+)
+
+// Option sets one property of a new Store or HostList.
+type Option func(*caller)
+
+// WithTimeout bounds each call in place of DefaultTimeout.
+func WithTimeout(timeout time.Duration) Option {
+	return func(caller *caller) { caller.timeout = timeout }
+}
+
+// WithRegistry registers the counters of calls in registry.
+func WithRegistry(registry metrics.Registry) Option {
+	return func(caller *caller) { caller.registry = registry }
+}
+
+// WithTransport sends calls through transport. It must not send a request
+// again that may have reached the platform.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(caller *caller) { caller.client.Transport = transport }
+}
+
+// caller makes and counts calls to one service of the platform.
+type caller struct {
+	baseURL  string
+	timeout  time.Duration
+	registry metrics.Registry
+	client   http.Client
+	calls    Calls
+}
+
+func newCaller(baseURL, service string, options []Option) caller {
+	caller := caller{baseURL: strings.TrimSuffix(baseURL, "/"), timeout: DefaultTimeout}
+	for _, option := range options {
+		option(&caller)
+	}
+	if caller.client.Transport == nil {
+		caller.client.Transport = newTransport()
+	}
+	caller.calls = newCalls(caller.registry, "platform."+service)
+	return caller
+}
+
+// newTransport returns a transport that sends a write again only where no byte
+// of it was written: net/http replays a request whose answer was lost only for
+// safe methods and those with an idempotency key, and calls carry none.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Calls returns the counters of the calls made so far.
+func (caller *caller) Calls() *Calls { return &caller.calls }
+
+// Close drops idle connections; no goroutine of the caller's own is left.
+func (caller *caller) Close() error {
+	caller.client.CloseIdleConnections()
+	return nil
+}
+
+// call is one exchange with the platform.
+type call struct {
+	operation string
+	method    string
+	path      string
+	// effect is true where the call may change the platform's state.
+	effect bool
+	// wait is how long the platform may hold the answer back on purpose.
+	wait time.Duration
+	body any
+}
+
+// do sends call, decodes a good answer into answer, and types any failure.
+func (caller *caller) do(ctx context.Context, call call, answer any) error {
+	err := caller.exchange(ctx, call, answer)
+	var failure *Error
+	if errors.As(err, &failure) && (failure.kind == Unknown || failure.kind == Unavailable) {
+		caller.calls.errors.Inc(1)
+	}
+	return err
+}
+
+func (caller *caller) exchange(ctx context.Context, call call, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, caller.timeout+call.wait)
+	defer cancel()
+	// sent is true once a connection was given to the request: from there on
+	// bytes of it may have reached the platform.
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	request, err := caller.newRequest(ctx, call)
+	if err != nil {
+		return NewError(Unavailable, call.operation, err)
+	}
+	response, err := caller.client.Do(request)
+	if err != nil {
+		return NewError(lossKind(call.effect && sent.Load()), call.operation, err)
+	}
+	defer response.Body.Close()
+	return decode(call, response, answer)
+}
+
+func (caller *caller) newRequest(ctx context.Context, call call) (*http.Request, error) {
+	var body io.Reader
+	if call.body != nil {
+		data, err := json.Marshal(call.body)
+		if err != nil {
+			return nil, fmt.Errorf("encode %s: %w", call.operation, err)
+		}
+		body = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.method, caller.baseURL+call.path, body)
+	if err != nil {
+		return nil, fmt.Errorf("make %s: %w", call.operation, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// lossKind returns the kind of a call whose answer never came.
+func lossKind(mayHaveEffect bool) ErrorKind {
+	if mayHaveEffect {
+		return Unknown
+	}
+	return Unavailable
+}
+
+// failure is the platform's answer to a call that it did not serve.
+type failure struct {
+	Applied *bool  `json:"applied"`
+	Reason  string `json:"reason"`
+}
+
+// decode reads the answer of call or types its failure.
+func decode(call call, response *http.Response, answer any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return NewError(lossKind(call.effect), call.operation, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(data, answer); err != nil {
+			return NewError(lossKind(call.effect), call.operation, err)
+		}
+		return nil
+	}
+	var failure failure
+	// A body that is no JSON leaves failure empty, which is the cautious case.
+	_ = json.Unmarshal(data, &failure)
+	cause := fmt.Errorf("status %d: %s", response.StatusCode, failure.Reason)
+	return NewError(statusKind(call, response.StatusCode, failure), call.operation, cause)
+}
+
+func statusKind(call call, status int, failure failure) ErrorKind {
+	switch status {
+	case http.StatusConflict:
+		return Conflict
+	case http.StatusNotModified:
+		return Unchanged
+	case http.StatusRequestEntityTooLarge:
+		return TooLarge
+	}
+	refused := failure.Applied != nil && !*failure.Applied
+	return lossKind(call.effect && !refused)
+}
--- /dev/null
+++ b/internal/connector/counter.go
@@ -0,0 +1,41 @@
+package connector
+
+import "github.com/rcrowley/go-metrics"
+
+// Calls counts the calls made to one service of the platform. A waiting watch
+// is one call; an answer of another kind than Unknown or Unavailable is no
+// error.
+type Calls struct {
+	reads   metrics.Counter
+	writes  metrics.Counter
+	watches metrics.Counter
+	errors  metrics.Counter
+}
+
+// newCalls returns counters, registered below prefix where registry is not nil.
+func newCalls(registry metrics.Registry, prefix string) Calls {
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter(prefix+"."+name, registry)
+	}
+	return Calls{
+		reads:   counter("reads"),
+		writes:  counter("writes"),
+		watches: counter("watches"),
+		errors:  counter("errors"),
+	}
+}
+
+// Reads returns how many reads were sent.
+func (calls *Calls) Reads() int64 { return calls.reads.Count() }
+
+// Writes returns how many writes were sent, those of leases among them.
+func (calls *Calls) Writes() int64 { return calls.writes.Count() }
+
+// Watches returns how many watches were sent.
+func (calls *Calls) Watches() int64 { return calls.watches.Count() }
+
+// Errors returns how many calls failed as Unknown or Unavailable.
+func (calls *Calls) Errors() int64 { return calls.errors.Count() }
--- /dev/null
+++ b/internal/connector/store.go
@@ -0,0 +1,86 @@
+package connector
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the store holds.
+const MaxValueBytes = 1 << 20
+
+// Store is the client of the platform's key-value store. It is safe for use by
+// several goroutines. Each method fails with an [Error] whose kind says what
+// the caller may conclude; no method sends a call twice.
+type Store struct {
+	caller
+}
+
+// NewStore returns the client of the store at baseURL.
+func NewStore(baseURL string, options ...Option) *Store {
+	return &Store{caller: newCaller(baseURL, "store", options)}
+}
+
+// wireEntry is an entry as the store sends it.
+type wireEntry struct {
+	Data    []byte `json:"data"`
+	Version uint64 `json:"version"`
+}
+
+// wireWrite is a compare-and-swap as the store takes it.
+type wireWrite struct {
+	Version uint64 `json:"version"`
+	Data    []byte `json:"data"`
+}
+
+// Get reads key. A key that doesn't exist has version 0 and is no error.
+func (store *Store) Get(ctx context.Context, key string) (Entry, error) {
+	store.calls.reads.Inc(1)
+	var answer wireEntry
+	err := store.do(ctx, call{operation: "get " + key, method: http.MethodGet, path: keyPath(key)}, &answer)
+	return NewEntry(answer.Data, answer.Version), err
+}
+
+// CompareAndSwap writes data to key if the key is still at version, where 0
+// means that it must not exist, and returns the new entry.
+func (store *Store) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte) (Entry, error) {
+	operation := "compare-and-swap " + key
+	if len(data) > MaxValueBytes {
+		return Entry{}, NewError(TooLarge, operation, fmt.Errorf("the value has %d bytes", len(data)))
+	}
+	store.calls.writes.Inc(1)
+	var answer wireEntry
+	err := store.do(ctx, call{
+		operation: operation, method: http.MethodPut, path: keyPath(key),
+		effect: true, body: wireWrite{Version: version, Data: data},
+	}, &answer)
+	if err != nil {
+		return Entry{}, err
+	}
+	return NewEntry(data, answer.Version), nil
+}
+
+// Delete removes key if it is still at version.
+func (store *Store) Delete(ctx context.Context, key string, version uint64) error {
+	store.calls.writes.Inc(1)
+	return store.do(ctx, call{
+		operation: "delete " + key, method: http.MethodDelete,
+		path: fmt.Sprintf("%s?version=%d", keyPath(key), version), effect: true,
+	}, &wireEntry{})
+}
+
+// Watch waits until key has a version greater than version and returns it.
+// After wait without that it fails as Unchanged.
+func (store *Store) Watch(ctx context.Context, key string, version uint64, wait time.Duration) (Entry, error) {
+	store.calls.watches.Inc(1)
+	var answer wireEntry
+	err := store.do(ctx, call{
+		operation: "watch " + key, method: http.MethodGet, wait: wait,
+		path: fmt.Sprintf("%s?after=%d&wait-ms=%d", keyPath(key), version, wait.Milliseconds()),
+	}, &answer)
+	return NewEntry(answer.Data, answer.Version), err
+}
+
+func keyPath(key string) string { return "/keys/" + url.PathEscape(key) }
