--- /dev/null
+++ b/internal/claimer/operation.go
@@ -0,0 +1,67 @@
+package claimer
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/chivespool/chivespool/internal/registrar"
+)
+
+// Operation is a request that must not run twice, named by its caller.
+type Operation struct {
+	key    registrar.Key
+	digest registrar.Digest
+}
+
+// NewOperation returns the operation that a caller of service named key. The
+// fingerprint is a hash of the request; the same key with another fingerprint
+// is refused.
+func NewOperation(service, key string, fingerprint [32]byte) Operation {
+	return Operation{key: registrar.NewKey(service, key), digest: registrar.Digest(fingerprint[:16])}
+}
+
+// Outcome is what became of a claimed operation. The zero value is unknown.
+type Outcome struct {
+	act    registrar.Act
+	answer registrar.Answer
+	// known is false while nothing can be recorded.
+	known bool
+}
+
+// Answered is the outcome of an operation that a backend server answered. The
+// answer is kept up to registrar.MaxBodyBytes, else only that it ran.
+func Answered(status int, header http.Header, body []byte) Outcome {
+	answer := registrar.NewAnswer(status, header, body)
+	return Outcome{act: registrar.ActFinish, answer: answer, known: true}
+}
+
+// NotRun is the outcome of an operation that provably did not run: its claim
+// is given back, and a re-send may run.
+func NotRun() Outcome { return Outcome{act: registrar.ActRelease, known: true} }
+
+// Unknown is the outcome of an operation that may have run.
+func Unknown() Outcome { return Outcome{} }
+
+// Recorded is the error that says that the operation ran before, with its
+// answer; the caller gets that answer in place of a second run.
+type Recorded struct{ answer registrar.Answer }
+
+// Kept reports whether the answer was small enough to be kept.
+func (recorded *Recorded) Kept() bool { return recorded.answer.Kept() }
+
+// Status returns the HTTP status code of the answer, or 0 if it wasn't kept.
+func (recorded *Recorded) Status() int { return recorded.answer.Status() }
+
+// Header returns the header fields that were kept; callers must not change it.
+func (recorded *Recorded) Header() http.Header { return recorded.answer.Header() }
+
+// Body returns the answer's body; callers must not change it.
+func (recorded *Recorded) Body() []byte { return recorded.answer.Body() }
+
+// Error says what was recorded and the remedy.
+func (recorded *Recorded) Error() string {
+	if !recorded.Kept() {
+		return "the operation ran before; done, answer too large to keep: look its result up at the service"
+	}
+	return fmt.Sprintf("the operation ran before with status %d; use the recorded answer", recorded.Status())
+}
--- /dev/null
+++ b/internal/registrar/answer.go
@@ -0,0 +1,81 @@
+package registrar
+
+import "net/http"
+
+// The bounds of an answer that is kept whole.
+const (
+	MaxBodyBytes   = 4096
+	MaxHeaderBytes = 1024
+)
+
+// The lowest and the highest HTTP status code.
+const (
+	minStatus = 100
+	maxStatus = 999
+)
+
+// fieldOverhead bounds the encoded bytes of a header field beside its text.
+const fieldOverhead = 8
+
+// keptHeaders are the header fields that are recorded with an answer.
+var keptHeaders = []string{
+	"Content-Type", "Content-Encoding", "Content-Language", "Location",
+	"Etag", "Last-Modified", "Cache-Control",
+}
+
+// Answer is a backend server's answer as it is recorded. The zero value says
+// that the operation ran and that its answer was too large to keep.
+type Answer struct {
+	// status is 0 where the answer was too large to keep.
+	status int
+	header http.Header
+	body   []byte
+}
+
+// NewAnswer returns the part of an answer that is kept: the status, those
+// header fields that describe the body, and the body. An answer over the
+// bounds yields the zero Answer.
+func NewAnswer(status int, header http.Header, body []byte) Answer {
+	answer := Answer{status: status, header: make(http.Header), body: body}
+	for _, name := range keptHeaders {
+		if values := header.Values(name); len(values) > 0 {
+			answer.header[name] = values
+		}
+	}
+	if status < minStatus || status > maxStatus {
+		return Answer{}
+	}
+	if len(body) > MaxBodyBytes || answer.headerSize() > MaxHeaderBytes {
+		return Answer{}
+	}
+	return answer
+}
+
+// Kept reports whether the answer was small enough to keep.
+func (answer Answer) Kept() bool { return answer.status != 0 }
+
+// Status returns the HTTP status code, or 0 where the answer was not kept.
+func (answer Answer) Status() int { return answer.status }
+
+// Header returns the header fields that were kept; callers must not change it.
+func (answer Answer) Header() http.Header { return answer.header }
+
+// Body returns the body; callers must not change it.
+func (answer Answer) Body() []byte { return answer.body }
+
+func (answer Answer) headerSize() int {
+	size := 0
+	for name, values := range answer.header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldOverhead
+		}
+	}
+	return size
+}
+
+func (answer Answer) size() int {
+	if !answer.Kept() {
+		return 0
+	}
+	return answer.headerSize() + len(answer.body) + fieldOverhead
+}
