--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -20,17 +20,17 @@
 const maxOpenTries = 2
 
 // Call sends request to host and returns its reply. Every failure is an
-// [Error]; where ctx ended, it wraps ctx's error.
+// [CallError]; where ctx ended, it wraps ctx's error.
 func (messenger *Messenger) Call(ctx context.Context, host string, request *encoder.Request) (*encoder.Reply, error) {
 	peer, run := messenger.peerNamed(host)
 	if peer == nil {
-		return nil, &Error{kind: Unreachable, host: host, cause: errUnknownHost}
+		return nil, &CallError{kind: Unreachable, host: host, cause: errUnknownHost}
 	}
 	var cause error
 	for range maxOpenTries {
 		link, err := peer.link(ctx, run)
 		if err != nil {
-			return nil, &Error{kind: Unreachable, host: host, cause: err}
+			return nil, &CallError{kind: Unreachable, host: host, cause: err}
 		}
 		conn, err := link.open()
 		if err == nil {
@@ -41,7 +41,7 @@
 			peer.remove(link)
 		}
 	}
-	return nil, &Error{kind: Unreachable, host: host, cause: cause}
+	return nil, &CallError{kind: Unreachable, host: host, cause: cause}
 }
 
 // peerNamed returns the peer called name, or nil, and the context of the Run
@@ -94,7 +94,7 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return nil, &Error{kind: kind, host: link.peer.name, cause: err}
+	return nil, &CallError{kind: kind, host: link.peer.name, cause: err}
 }
 
 // exchange writes one frame and reads one.
@@ -114,7 +114,7 @@
 	if failure.GetNotRun() {
 		kind = Refused
 	}
-	return &Error{
+	return &CallError{
 		kind: kind, host: link.peer.name, reason: failure.GetKind(),
 		cause: errors.New(failure.GetText()),
 	}
--- a/internal/messenger/credentials.go
+++ b/internal/messenger/credentials.go
@@ -19,13 +19,13 @@
 }
 
 // Unwrap returns the cause, or nil.
-func (err *CredentialsError) Unwrap() error { return err.cause }
+func (credentialsError *CredentialsError) Unwrap() error { return credentialsError.cause }
 
 // Error names the cause and the remedy.
-func (err *CredentialsError) Error() string {
-	text := "peer credentials: " + err.text + "; set key, certificate and authority files of this host"
-	if err.cause != nil {
-		text += ": " + err.cause.Error()
+func (credentialsError *CredentialsError) Error() string {
+	text := "peer credentials: " + credentialsError.text + "; set key, certificate and authority files of this host"
+	if credentialsError.cause != nil {
+		text += ": " + credentialsError.cause.Error()
 	}
 	return text
 }
--- a/internal/messenger/error.go
+++ b/internal/messenger/error.go
@@ -18,12 +18,12 @@
 )
 
 // String returns the kind in kebab case.
-func (kind ErrorKind) String() string {
-	return [...]string{"broken", "unreachable", "refused", "failed"}[kind]
+func (errorKind ErrorKind) String() string {
+	return [...]string{"broken", "unreachable", "refused", "failed"}[errorKind]
 }
 
-// Error is a call that brought no reply, or the failure that a handler returns.
-type Error struct {
+// CallError is a call that brought no reply, or the failure that a handler returns.
+type CallError struct {
 	kind ErrorKind
 	// host is the peer that was called.
 	host string
@@ -34,25 +34,26 @@
 
 // NewError returns a failure for a [Handler] to return: reason is a word in
 // kebab case that the asking side can decide on.
-func NewError(kind ErrorKind, reason string, cause error) *Error {
-	return &Error{kind: kind, reason: reason, cause: cause}
+func NewError(kind ErrorKind, reason string, cause error) *CallError {
+	return &CallError{kind: kind, reason: reason, cause: cause}
 }
 
 // Kind returns what may be concluded.
-func (err *Error) Kind() ErrorKind { return err.kind }
+func (callError *CallError) Kind() ErrorKind { return callError.kind }
 
 // Host returns the name of the peer that was called.
-func (err *Error) Host() string { return err.host }
+func (callError *CallError) Host() string { return callError.host }
 
 // Reason returns the peer's own kind of failure, or empty.
-func (err *Error) Reason() string { return err.reason }
+func (callError *CallError) Reason() string { return callError.reason }
 
 // Unwrap returns the cause.
-func (err *Error) Unwrap() error { return err.cause }
+func (callError *CallError) Unwrap() error { return callError.cause }
 
 // Error names the peer, the kind, the cause and the remedy.
-func (err *Error) Error() string {
-	return fmt.Sprintf("peer %s: %s %s: %v; %s", err.host, err.kind, err.reason, err.cause, remedies[err.kind])
+func (callError *CallError) Error() string {
+	return fmt.Sprintf("peer %s: %s %s: %v; %s", callError.host, callError.kind, callError.reason,
+		callError.cause, remedies[callError.kind])
 }
 
 var remedies = map[ErrorKind]string{
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -32,7 +32,7 @@
 		return monitor.Digest{}, err
 	}
 	if reply.GetDigest() == nil {
-		return monitor.Digest{}, &Error{kind: Failed, host: host, cause: errNoDigest}
+		return monitor.Digest{}, &CallError{kind: Failed, host: host, cause: errNoDigest}
 	}
 	return decodeDigest(reply.GetDigest()), nil
 }
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -22,13 +22,13 @@
 }
 
 // Unwrap returns the cause, or nil.
-func (err *FrameError) Unwrap() error { return err.cause }
+func (frameError *FrameError) Unwrap() error { return frameError.cause }
 
 // Error names what was wrong and the remedy.
-func (err *FrameError) Error() string {
-	text := "not a message of this protocol: " + err.text + "; check that the peer runs chivespoold"
-	if err.cause != nil {
-		text += ": " + err.cause.Error()
+func (frameError *FrameError) Error() string {
+	text := "not a message of this protocol: " + frameError.text + "; check that the peer runs chivespoold"
+	if frameError.cause != nil {
+		text += ": " + frameError.cause.Error()
 	}
 	return text
 }
--- a/internal/messenger/hello.go
+++ b/internal/messenger/hello.go
@@ -21,8 +21,8 @@
 type RefusalError struct{ reason string }
 
 // Error names the reason and the remedy.
-func (err *RefusalError) Error() string {
-	return "refused by the protocol: " + err.reason + "; mend that on the side that is refused"
+func (refusalError *RefusalError) Error() string {
+	return "refused by the protocol: " + refusalError.reason + "; mend that on the side that is refused"
 }
 
 // hello returns what this host says of itself first.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -31,7 +31,7 @@
 // Handler answers the calls of peers.
 type Handler interface {
 	// Handle answers request of the host called from. ctx ends when the asking
-	// side gives up or the link dies. An [Error] tells the asking side whether
+	// side gives up or the link dies. An [CallError] tells the asking side whether
 	// the request had an effect; any other error counts as [Failed].
 	Handle(ctx context.Context, from string, request *encoder.Request) (*encoder.Reply, error)
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -10,7 +10,7 @@
 
 func wantKind(t *testing.T, err error, kind ErrorKind) {
 	t.Helper()
-	var typed *Error
+	var typed *CallError
 	if !errors.As(err, &typed) || typed.Kind() != kind {
 		t.Fatalf("got %v, want kind %v", err, kind)
 	}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -86,7 +86,7 @@
 // failed returns the reply that tells err.
 func failed(err error) *encoder.Reply {
 	failure := &encoder.Failure{Kind: "failed", Text: err.Error()}
-	var typed *Error
+	var typed *CallError
 	if errors.As(err, &typed) {
 		failure.Kind = typed.reason
 		failure.NotRun = typed.kind == Refused || typed.kind == Unreachable
