--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -11,10 +11,12 @@
 
 var errNoDigest = errors.New("the peer answered without a digest")
 
-// DigestHandler takes in what a peer tells of the fleet and tells what it
-// knows itself.
+// DigestHandler is the membership that answers what peers tell of the fleet.
 type DigestHandler interface {
+	// Answer takes in what from tells, and returns what to tell it.
 	Answer(from string, digest monitor.Digest) monitor.Digest
+	// Reach tries host and returns nil if it answers.
+	Reach(ctx context.Context, host string) error
 }
 
 // HandleDigests sets who answers the digests of peers.
@@ -37,16 +39,33 @@
 	return decodeDigest(reply.GetDigest()), nil
 }
 
-// handleDigest returns the reply to a peer's digest.
-func (messenger *Messenger) handleDigest(from string, digest *encoder.Digest) *encoder.Reply {
+// Reach has the host called via try host, and returns nil if host answers.
+func (messenger *Messenger) Reach(ctx context.Context, via, host string) error {
+	body := &encoder.Request_Reach{Reach: &encoder.ReachRequest{Host: host}}
+	_, err := messenger.Call(ctx, via, &encoder.Request{Body: body})
+	return err
+}
+
+// handleMembership returns the reply to a peer's digest or its wish to have a
+// host tried, or nil where request is neither.
+func (messenger *Messenger) handleMembership(ctx context.Context, from string, request *encoder.Request) *encoder.Reply {
 	messenger.mu.Lock()
 	handler := messenger.digests
 	messenger.mu.Unlock()
 	if handler == nil {
-		return failed(NewError(Refused, "unknown-request", errors.New("no membership is kept here")))
+		return nil
+	}
+	if digest := request.GetDigest(); digest != nil {
+		answer := handler.Answer(from, decodeDigest(digest))
+		return &encoder.Reply{Body: &encoder.Reply_Digest{Digest: encodeDigest(answer)}}
+	}
+	if reach := request.GetReach(); reach != nil {
+		if err := handler.Reach(ctx, reach.GetHost()); err != nil {
+			return failed(NewError(Failed, "not-reached", err))
+		}
+		return &encoder.Reply{Body: &encoder.Reply_Reach{Reach: new(encoder.ReachReply)}}
 	}
-	answer := handler.Answer(from, decodeDigest(digest))
-	return &encoder.Reply{Body: &encoder.Reply_Digest{Digest: encodeDigest(answer)}}
+	return nil
 }
 
 func encodeDigest(digest monitor.Digest) *encoder.Digest {
@@ -66,6 +85,11 @@
 			FromRegion: cut.From(), ToRegion: cut.To(), Cut: cut.Cut(), Version: cut.Version(),
 		})
 	}
+	for _, endpoint := range digest.Endpoints() {
+		encoded.Endpoints = append(encoded.Endpoints, &encoder.EndpointState{
+			Name: endpoint.Name(), Leaving: endpoint.Leaving(), Version: endpoint.Version(),
+		})
+	}
 	return encoded
 }
 
@@ -86,7 +110,13 @@
 	for _, cut := range encoded.GetCuts() {
 		cuts = append(cuts, monitor.NewCut(cut.GetFromRegion(), cut.GetToRegion(), cut.GetCut(), cut.GetVersion()))
 	}
-	return monitor.NewDigest(encoded.GetSender(), encoded.GetChecksum(), members, cuts, encoded.GetLevelling())
+	var endpoints []monitor.EndpointState
+	for _, endpoint := range encoded.GetEndpoints() {
+		endpoints = append(endpoints,
+			monitor.NewEndpointState(endpoint.GetName(), endpoint.GetLeaving(), endpoint.GetVersion()))
+	}
+	digest := monitor.NewDigest(encoded.GetSender(), encoded.GetChecksum(), members, cuts, encoded.GetLevelling())
+	return digest.WithEndpoints(endpoints)
 }
 
 // known reports whether state is one of definer's.
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -69,8 +69,8 @@
 		stream.link.parted.Store(true)
 		return new(encoder.Reply)
 	}
-	if digest := request.GetDigest(); digest != nil {
-		return messenger.handleDigest(from, digest)
+	if reply := messenger.handleMembership(ctx, from, request); reply != nil {
+		return reply
 	}
 	handler := messenger.getHandler()
 	if handler == nil || request.GetBody() == nil {
--- a/internal/monitor/digest.go
+++ b/internal/monitor/digest.go
@@ -70,6 +70,8 @@
 	checksum uint64
 	members  []Member
 	cuts     []Cut
+	// endpoints holds changes of endpoints that leave.
+	endpoints []EndpointState
 	// levelling is true where members are there to mend a differing checksum.
 	levelling bool
 }
@@ -79,6 +81,15 @@
 	return Digest{sender: sender, checksum: checksum, members: members, cuts: cuts, levelling: levelling}
 }
 
+// WithEndpoints returns a copy that tells endpoints.
+func (digest Digest) WithEndpoints(endpoints []EndpointState) Digest {
+	digest.endpoints = endpoints
+	return digest
+}
+
+// Endpoints returns changes of endpoints that leave; callers must not change it.
+func (digest Digest) Endpoints() []EndpointState { return digest.endpoints }
+
 // Sender returns the name of the host that tells.
 func (digest Digest) Sender() string { return digest.sender }
 
--- /dev/null
+++ b/internal/monitor/prober.go
@@ -0,0 +1,54 @@
+package monitor
+
+import (
+	"context"
+	"time"
+)
+
+// prober carries out one probe.
+type prober struct {
+	monitor *Monitor
+	probe   Probe
+}
+
+// run exchanges digests with the host, or has a helper do so, and tells the
+// table how it went.
+func (prober *prober) run(ctx context.Context) {
+	monitor := prober.monitor
+	probe := prober.probe
+	defer monitor.wait.Done()
+	started := time.Now()
+	within, cancel := context.WithTimeout(ctx, probe.Timeout())
+	defer cancel()
+	var answer Digest
+	var err error
+	if probe.Via() != "" {
+		err = monitor.exchanger.Reach(within, probe.Via(), probe.Host())
+	} else {
+		answer, err = monitor.exchanger.Exchange(within, probe.Host(), monitor.digest(probe.Host()))
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	var more []Probe
+	monitor.change(func(table *Table, now time.Time) {
+		if err != nil {
+			more = table.Failed(now, probe, started)
+			return
+		}
+		if probe.Via() == "" {
+			table.Hear(now, answer)
+		}
+		table.Succeeded(now, probe)
+	})
+	for _, probe := range more {
+		monitor.start(ctx, probe)
+	}
+}
+
+// digest returns what to tell a host.
+func (monitor *Monitor) digest(to string) Digest {
+	monitor.mu.Lock()
+	defer monitor.mu.Unlock()
+	return monitor.table.Digest(to)
+}
