--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -1,4 +1,66 @@
 // Command chivespoold is the daemon of an entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/chivespool/chivespool/internal/runner"
+	"github.com/chivespool/chivespool/internal/setter"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "chivespoold:", err)
+		klog.Flush()
+		os.Exit(1)
+	}
+	klog.Flush()
+}
+
+func command() *cli.Command {
+	settings := &cli.StringFlag{Name: "settings", Usage: "read settings from `FILE` (INI; docs/SETTINGS.md)", Required: true}
+	return &cli.Command{
+		Name:   "chivespoold",
+		Usage:  "the daemon of a chivespool entry host",
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Usage: settings.Usage}},
+		Action: run,
+		Commands: []*cli.Command{
+			{
+				Name: "check-settings", Usage: "report every error in a settings file and exit with 1 if there is one",
+				Flags: []cli.Flag{settings}, Action: check,
+			},
+			{Name: "settings-page", Usage: "print docs/SETTINGS.md", Action: page},
+		},
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	settings, err := setter.Read(command.String("settings"))
+	if err != nil {
+		return err
+	}
+	return runner.New(settings).Run(ctx)
+}
+
+func check(_ context.Context, command *cli.Command) error {
+	settings, err := setter.Read(command.String("settings"))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s is right for host %s at %s\n", command.String("settings"), settings.Name(), settings.Place())
+	return nil
+}
+
+func page(context.Context, *cli.Command) error {
+	fmt.Print(setter.Page())
+	return nil
+}
--- a/internal/sender/header.go
+++ b/internal/sender/header.go
@@ -35,7 +35,7 @@
 	for field := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		number, err := strconv.ParseFloat(value, 64)
-		if err != nil || number < 0 || number > maxReport {
+		if err != nil || !(number >= 0 && number <= maxReport) {
 			continue
 		}
 		switch key {
