--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -21,6 +21,7 @@
 		Commands: []*cli.Command{
 			storeCommand(),
 			hostListCommand(),
+			backendCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
--- /dev/null
+++ b/internal/emulator/backend_handler.go
@@ -0,0 +1,146 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/labstack/echo/v4"
+)
+
+// The headers that chivespool and backend servers agree on.
+const (
+	headerTimeout = "Request-Timeout-Ms"
+	headerID      = "Request-Id"
+	headerRan     = "Request-Ran"
+	headerState   = "Endpoint-State"
+	headerLoad    = "Endpoint-Load-Metrics"
+)
+
+// The headers by which callers ask the stand-in for work.
+const (
+	headerWork      = "Work-Ms"
+	headerKind      = "Work-Kind"
+	headerBytes     = "Answer-Bytes"
+	headerChunked   = "Answer-Chunked"
+	headerEndpoint  = "Endpoint-Name"
+	kindCrash       = "crash"
+	kindCut         = "cut"
+	shedRetryAfterS = "1"
+)
+
+// Handler returns the endpoint's HTTP interface.
+func (backend *Backend) Handler() http.Handler {
+	router := echo.New()
+	router.GET("/health", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, backend.shownReport(time.Now()))
+	})
+	router.Any("/*", backend.serve)
+	return router
+}
+
+// serve runs one request, or refuses it before it runs.
+func (backend *Backend) serve(c echo.Context) error {
+	backend.note(time.Now())
+	c.Response().Header().Set(headerEndpoint, backend.name)
+	settings := backend.Settings()
+	if settings.FailFast != 0 {
+		return backend.failFast(c, settings.FailFast)
+	}
+	if settings.Draining {
+		c.Response().Header().Set(headerState, "draining")
+		c.Response().Header().Set("Connection", "close")
+		return backend.shed(c, "the endpoint drains")
+	}
+	ctx, cancel := withTimeout(c.Request())
+	defer cancel()
+	if !backend.enter(ctx) {
+		return backend.shed(c, "all slots are taken")
+	}
+	defer backend.leave()
+	return backend.run(ctx, c)
+}
+
+// withTimeout bounds the request's context by the time that its caller gives.
+func withTimeout(request *http.Request) (context.Context, context.CancelFunc) {
+	timeout := number(request.Header.Get(headerTimeout))
+	if timeout == 0 {
+		return context.WithCancel(request.Context())
+	}
+	return context.WithTimeout(request.Context(), time.Duration(timeout)*time.Millisecond)
+}
+
+func (backend *Backend) failFast(c echo.Context, status int) error {
+	if status == http.StatusServiceUnavailable {
+		return backend.shed(c, "the endpoint fails fast")
+	}
+	return c.JSON(status, refusal{Reason: "the endpoint fails fast"})
+}
+
+// shed refuses a request that did not run.
+func (backend *Backend) shed(c echo.Context, reason string) error {
+	header := c.Response().Header()
+	header.Set(headerRan, "no")
+	header.Set("Retry-After", shedRetryAfterS)
+	backend.setLoad(c)
+	return refuse(c, http.StatusServiceUnavailable, reason)
+}
+
+// run runs a request that has a slot.
+func (backend *Backend) run(ctx context.Context, c echo.Context) error {
+	request := c.Request()
+	id := request.Header.Get(headerID)
+	backend.journal.start(id)
+	if request.Header.Get(headerKind) == kindCrash {
+		backend.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	start := time.Now()
+	digest := xxhash.New()
+	if _, err := io.Copy(digest, request.Body); err != nil {
+		return fmt.Errorf("read the request's body: %w", err)
+	}
+	work, _ := strconv.ParseFloat(request.Header.Get(headerWork), 64)
+	pause(ctx, backend.runTime(milliseconds(work), start))
+	if ctx.Err() != nil {
+		return c.JSON(http.StatusGatewayTimeout, refusal{Applied: true, Reason: "the request's time is over"})
+	}
+	backend.ran(time.Since(start))
+	backend.journal.finish(id)
+	return backend.answer(c, NewAnswer(id, int64(number(request.Header.Get(headerBytes))), digest.Sum64()))
+}
+
+// answer sends answer with the load report. Where the request asks for it the
+// answer is cut in the middle.
+func (backend *Backend) answer(c echo.Context, answer *Answer) error {
+	header := c.Response().Header()
+	header.Set(headerID, c.Request().Header.Get(headerID))
+	header.Set("Content-Type", "application/octet-stream")
+	backend.setLoad(c)
+	if backend.Settings().Draining {
+		header.Set(headerState, "draining")
+		header.Set("Connection", "close")
+	}
+	if c.Request().Header.Get(headerChunked) == "" {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length(), 10))
+	}
+	c.Response().WriteHeader(http.StatusOK)
+	if c.Request().Header.Get(headerKind) == kindCut {
+		_, _ = io.CopyN(c.Response(), answer, answer.Length()/2)
+		c.Response().Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, err := io.Copy(c.Response(), answer)
+	return err
+}
+
+// setLoad puts the load report on an answer, in the text form of ORCA.
+func (backend *Backend) setLoad(c echo.Context) {
+	report := backend.report()
+	c.Response().Header().Set(headerLoad,
+		fmt.Sprintf("TEXT in_flight=%d, slots=%d, run_ms=%.3f", report.InFlight, report.Slots, report.RunMs))
+}
