--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -122,6 +123,8 @@
 	// timeout is the tightest bound that caller, rule and settings give.
 	timeout  time.Duration
 	attempts *attempts
+	// fingerprint identifies what is asked for.
+	fingerprint [sha256.Size]byte
 	// tried names the endpoints of earlier attempts.
 	tried []string
 	// isolated keeps the request away from others that may be deadly.
@@ -146,7 +149,7 @@
 	}
 	return &call{
 		Request: request, pool: service.Pool(), rule: rule, timeout: dispatcher.bound(request, rule),
-		attempts: newAttempts(rule.Repeatable(), most), keyed: request.key != "" && !rule.Repeatable(),
+		attempts: newAttempts(rule.Repeatable(), most), fingerprint: request.Fingerprint(), keyed: request.key != "" && !rule.Repeatable(),
 	}, nil
 }
 
@@ -200,6 +203,7 @@
 func (dispatcher *Dispatcher) try(ctx context.Context, call *call) (*Answer, error) {
 	slot, err := dispatcher.router.Acquire(ctx, call.want(ctx))
 	if err != nil {
+		dispatcher.acquit(call, NewFailure(Unconnected, false, err))
 		return nil, call.attempts.adjust(asRefusal(err))
 	}
 	endpoint := slot.Endpoint()
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -45,19 +44,12 @@
 		result = result.WithReport(answer.inFlight, answer.slots)
 	}
 	flight.slot.Release(result)
-	if quarantiner := flight.dispatcher.quarantiner; quarantiner != nil && flight.call.isolated {
-		quarantiner.Completed(flight.call.Fingerprint())
-	}
+	flight.dispatcher.acquit(flight.call, nil)
 }
 
 func (flight *flight) fail(failure *Failure) {
 	flight.slot.Release(router.NewResult(outcomes[failure.cause], time.Since(flight.start)))
-	crashed := failure.sent && (failure.cause == Lost || failure.cause == Malformed)
-	if quarantiner := flight.dispatcher.quarantiner; quarantiner != nil && crashed {
-		ctx, cancel := context.WithTimeout(context.Background(), crashRecordTimeout)
-		defer cancel()
-		quarantiner.Crashed(ctx, flight.call.Fingerprint())
-	}
+	flight.dispatcher.acquit(flight.call, failure)
 }
 
 // outcomes tells the router how an attempt failed.
--- a/internal/dispatcher/keyed.go
+++ b/internal/dispatcher/keyed.go
@@ -28,7 +28,7 @@
 	if dispatcher.claimer == nil {
 		return nil, refuser.New(refuser.KindStoreUnavailable, refuser.NotRun, "keys can't be claimed here")
 	}
-	claim, err := dispatcher.claimer.Claim(ctx, claimer.NewOperation(call.service, call.key, call.Fingerprint()))
+	claim, err := dispatcher.claimer.Claim(ctx, claimer.NewOperation(call.service, call.key, call.fingerprint))
 	if err != nil {
 		return recorded(err)
 	}
--- /dev/null
+++ b/internal/lender/lender.go
@@ -0,0 +1,208 @@
+// Package lender carries loans of slots between homes over the peer links. It
+// encodes and decodes; package router decides at both ends.
+package lender
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/refuser"
+	"github.com/chivespool/chivespool/internal/router"
+)
+
+// giveBackTimeout bounds how long a home may take to take back a loan. A loan
+// that can't be given back ends when the home sees the borrower's link go down.
+const giveBackTimeout = 5 * time.Second
+
+// Caller calls other entry hosts, as package messenger does.
+type Caller interface {
+	Call(ctx context.Context, host string, request *encoder.Request) (*encoder.Reply, error)
+}
+
+// Home is the side that lends, as package router is.
+type Home interface {
+	Lend(ctx context.Context, borrower string, want router.Want) (router.Loan, error)
+	TakeBack(borrower string, loanID uint64, result router.Result)
+}
+
+// Lender borrows from other homes; it is what a router needs. Make one with New.
+type Lender struct {
+	caller Caller
+	// returns holds the loans to give back, for run.
+	returns chan giveBack
+}
+
+// Bounds on the loans that are given back.
+const (
+	returnsMost   = 1024
+	returnsAtOnce = 64
+)
+
+// giveBack is one loan on its way back.
+type giveBack struct {
+	home    string
+	request *encoder.GiveBackRequest
+}
+
+// New returns a lender that reaches other homes through caller.
+func New(caller Caller) *Lender {
+	return &Lender{caller: caller, returns: make(chan giveBack, returnsMost)}
+}
+
+// Borrow asks home for a slot, and waits there as long as ctx allows. A
+// *refuser.Refusal is the home's own answer; any other error means that the
+// home is out of reach.
+func (lender *Lender) Borrow(ctx context.Context, home string, want router.Want) (router.Loan, error) {
+	request := &encoder.Request{Body: &encoder.Request_Borrow{Borrow: encodeWant(ctx, want)}}
+	reply, err := lender.caller.Call(ctx, home, request)
+	if err != nil {
+		return router.Loan{}, borrowError(err)
+	}
+	loan := reply.GetLoan()
+	if loan.GetEndpoint() == "" {
+		return router.Loan{}, refuser.New(refuser.KindOverloaded, refuser.NotRun, "no slot to lend at "+home)
+	}
+	return router.NewLoan(loan.GetId(), loan.GetEndpoint()), nil
+}
+
+// borrowError returns the refusal that a home answered, or err.
+func borrowError(err error) error {
+	var callError *messenger.CallError
+	if errors.As(err, &callError) && callError.Kind() == messenger.Refused && callError.Reason() != "" {
+		return refuser.New(refuser.Kind(callError.Reason()), refuser.NotRun, callError.Error())
+	}
+	return err
+}
+
+// GiveBack ends loan at home without waiting for it.
+func (lender *Lender) GiveBack(home string, loan router.Loan, result router.Result) {
+	select {
+	case lender.returns <- giveBack{home: home, request: encodeGiveBack(loan, result)}:
+	default: // The home takes the slot back when the loan's time is over.
+	}
+}
+
+// Run gives loans back, several at a time, until ctx is done; it returns once
+// all that it began have ended.
+func (lender *Lender) Run(ctx context.Context) error {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	places := make(chan struct{}, returnsAtOnce)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case back := <-lender.returns:
+			places <- struct{}{}
+			wait.Add(1)
+			go back.run(ctx, lender.caller, func() {
+				<-places
+				wait.Done()
+			})
+		}
+	}
+}
+
+// run gives one loan back, then calls done.
+func (giveBack giveBack) run(ctx context.Context, caller Caller, done func()) {
+	defer done()
+	ctx, cancel := context.WithTimeout(ctx, giveBackTimeout)
+	defer cancel()
+	request := &encoder.Request{Body: &encoder.Request_GiveBack{GiveBack: giveBack.request}}
+	_, _ = caller.Call(ctx, giveBack.home, request)
+}
+
+// ServeBorrow answers a borrower's request with a slot of home.
+func ServeBorrow(ctx context.Context, home Home, borrower string, request *encoder.BorrowRequest) (*encoder.Reply, error) {
+	if wait := request.GetWaitMilliseconds(); wait > 0 {
+		waiting, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+		defer cancel()
+		ctx = waiting
+	}
+	loan, err := home.Lend(ctx, borrower, decodeWant(request))
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return nil, messenger.NewError(messenger.Refused, string(refusal.Kind()), refusal)
+	}
+	if err != nil {
+		return nil, messenger.NewError(messenger.Refused, string(refuser.KindOverloaded), err)
+	}
+	message := &encoder.Loan{Id: loan.ID(), Endpoint: loan.Endpoint()}
+	return &encoder.Reply{Body: &encoder.Reply_Loan{Loan: message}}, nil
+}
+
+// ServeGiveBack takes back a loan of home.
+func ServeGiveBack(home Home, borrower string, request *encoder.GiveBackRequest) *encoder.Reply {
+	home.TakeBack(borrower, request.GetLoanId(), decodeResult(request))
+	return &encoder.Reply{Body: &encoder.Reply_GiveBack{GiveBack: &encoder.GiveBackReply{}}}
+}
+
+func encodeWant(ctx context.Context, want router.Want) *encoder.BorrowRequest {
+	request := want.Request()
+	message := &encoder.BorrowRequest{
+		Pool: request.Pool(), Lane: encoder.Lane(request.Lane()), Priority: int32(request.Priority()),
+		Isolated: request.Isolated(), Avoid: request.Avoid(), Spare: want.Spare(),
+	}
+	if deadline := request.Deadline(); !deadline.IsZero() {
+		message.DeadlineMilliseconds = max(time.Until(deadline).Milliseconds(), 1)
+	}
+	if end, ok := ctx.Deadline(); ok {
+		message.WaitMilliseconds = max(time.Until(end).Milliseconds(), 1)
+	}
+	return message
+}
+
+func decodeWant(message *encoder.BorrowRequest) router.Want {
+	var deadline time.Time
+	if left := message.GetDeadlineMilliseconds(); left > 0 {
+		deadline = time.Now().Add(time.Duration(left) * time.Millisecond)
+	}
+	request := router.NewRequest(
+		message.GetPool(),
+		router.InLane(definer.Lane(message.GetLane())),
+		router.WithPriority(int(message.GetPriority())),
+		router.WithDeadline(deadline),
+		router.Isolated(message.GetIsolated()),
+		router.Avoiding(message.GetAvoid()...),
+	)
+	return router.NewWant(request, message.GetSpare())
+}
+
+// outcomes names the outcomes of a request in messages.
+var outcomes = map[string]router.Outcome{
+	"answered": router.Answered, "failed": router.Failed, "shed": router.Shed,
+	"draining": router.Draining, "unreachable": router.Unreachable,
+	"crashed": router.Crashed, "cancelled": router.Cancelled, "unused": router.Unused,
+}
+
+func encodeGiveBack(loan router.Loan, result router.Result) *encoder.GiveBackRequest {
+	message := &encoder.GiveBackRequest{LoanId: loan.ID(), RunTimeMicroseconds: result.RunTime().Microseconds()}
+	for name, outcome := range outcomes {
+		if outcome == result.Outcome() {
+			message.Outcome = name
+		}
+	}
+	if inFlight, slots, ok := result.Report(); ok {
+		message.InFlight = int32(inFlight)
+		message.Slots = int32(slots)
+	}
+	return message
+}
+
+// decodeResult reads a result; an outcome of a newer release counts as unused.
+func decodeResult(message *encoder.GiveBackRequest) router.Result {
+	outcome, ok := outcomes[message.GetOutcome()]
+	if !ok {
+		outcome = router.Unused
+	}
+	result := router.NewResult(outcome, time.Duration(message.GetRunTimeMicroseconds())*time.Microsecond)
+	if message.GetSlots() > 0 {
+		result = result.WithReport(int(message.GetInFlight()), int(message.GetSlots()))
+	}
+	return result
+}
