--- /dev/null
+++ b/internal/arbiter/outcome.go
@@ -0,0 +1,141 @@
+package arbiter
+
+import (
+	"fmt"
+	"time"
+)
+
+// Result is what became of a command or a proposal.
+type Result int
+
+// The results. Open means that a proposal waits for votes or for the chair.
+const (
+	Open Result = iota
+	Accepted
+	Rejected
+	Withdrawn
+	Overruled
+	Voted
+	Unfit
+)
+
+// String returns the result in lower case.
+func (result Result) String() string {
+	return [...]string{"open", "accepted", "rejected", "withdrawn", "overruled", "voted", "unfit"}[result]
+}
+
+// Outcome says what became of a command or a proposal.
+type Outcome struct {
+	id     string
+	result Result
+	// proposal is the id of the proposal that the command is about.
+	proposal string
+	// revision is the one made by an acceptance, else the one in force.
+	revision uint64
+	at       time.Time
+}
+
+// NewOutcome returns the outcome of the command or proposal called id.
+func NewOutcome(id string, result Result, proposal string, revision uint64, at time.Time) Outcome {
+	return Outcome{id: id, result: result, proposal: proposal, revision: revision, at: at}
+}
+
+// ID returns the id of the command or proposal.
+func (outcome Outcome) ID() string { return outcome.id }
+
+// Result returns what became of it.
+func (outcome Outcome) Result() Result { return outcome.result }
+
+// Proposal returns the id of the proposal that it is about.
+func (outcome Outcome) Proposal() string { return outcome.proposal }
+
+// Revision returns the revision made by an acceptance, else that in force.
+func (outcome Outcome) Revision() uint64 { return outcome.revision }
+
+// At returns when it was decided.
+func (outcome Outcome) At() time.Time { return outcome.at }
+
+// String returns the outcome as a sentence without its full stop.
+func (outcome Outcome) String() string {
+	switch outcome.result {
+	case Accepted:
+		return fmt.Sprintf("proposal %s is accepted and in force as revision %d", outcome.proposal, outcome.revision)
+	case Open:
+		return fmt.Sprintf("proposal %s is open; it waits for votes or the chair", outcome.proposal)
+	case Voted:
+		return fmt.Sprintf("the vote on proposal %s counts; the proposal is open", outcome.proposal)
+	case Unfit:
+		return fmt.Sprintf("proposal %s no longer fits the configuration and is closed", outcome.proposal)
+	}
+	return fmt.Sprintf("proposal %s is %s", outcome.proposal, outcome.result)
+}
+
+// ErrorKind sorts why a command changes nothing.
+type ErrorKind int
+
+// The kinds of error.
+const (
+	// NotMember means that the operator has no seat or signed with another key.
+	NotMember ErrorKind = iota
+	// NotChair means that only the chair may rule.
+	NotChair
+	// NotAuthor means that only the author may withdraw.
+	NotAuthor
+	// Closed means that the proposal is no longer open, or never was.
+	Closed
+	// NothingToRule means that the proposal is neither tied nor collides.
+	NothingToRule
+	// BadChange means that the change can't be applied; it wraps the cause.
+	BadChange
+	// BadBase means that the proposal's base is too old or in the future.
+	BadBase
+	// Full means that a bound of the state is reached.
+	Full
+	// BadTime means that the command's id is too old or from the future.
+	BadTime
+)
+
+// String returns the kind in kebab case.
+func (errorKind ErrorKind) String() string {
+	return [...]string{
+		"not-member", "not-chair", "not-author", "closed", "nothing-to-rule",
+		"bad-change", "bad-base", "full", "bad-time",
+	}[errorKind]
+}
+
+// CommandError says why a command was not accepted: it changed nothing.
+type CommandError struct {
+	kind   ErrorKind
+	detail string
+	cause  error
+}
+
+func newCommandError(kind ErrorKind, format string, values ...any) *CommandError {
+	return &CommandError{kind: kind, detail: fmt.Sprintf(format, values...)}
+}
+
+// Kind returns why the command changed nothing.
+func (commandError *CommandError) Kind() ErrorKind { return commandError.kind }
+
+// Unwrap returns the cause, or nil.
+func (commandError *CommandError) Unwrap() error { return commandError.cause }
+
+// Error names the case and the remedy.
+func (commandError *CommandError) Error() string {
+	if commandError.cause != nil {
+		return fmt.Sprintf("%s: %v", commandError.detail, commandError.cause)
+	}
+	return commandError.detail + "; " + remedies[commandError.kind]
+}
+
+var remedies = map[ErrorKind]string{
+	NotMember:     "check --operator and --key; see the members with: show committee",
+	NotChair:      "ask the chair to rule; see who it is with: show committee",
+	NotAuthor:     "ask the author to withdraw it, or vote no",
+	Closed:        "see the open proposals with: show proposals",
+	NothingToRule: "let the committee vote; rule once it is tied or collides",
+	BadChange:     "correct the change and propose it again",
+	BadBase:       "look at the configuration in force and propose against its revision",
+	Full:          "wait a few minutes, or withdraw proposals that nobody needs",
+	BadTime:       "set the clock, and ask for the command's outcome with: outcome ID",
+}
--- /dev/null
+++ b/internal/arbiter/settle.go
@@ -0,0 +1,124 @@
+package arbiter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// Tied reports whether every member has voted on proposal and the votes are
+// equal, so that only the chair's casting vote can settle it.
+func (state State) Tied(proposal Proposal) bool {
+	committee := state.configuration.Committee()
+	inFavour := len(proposal.voters(committee, true))
+	against := len(proposal.voters(committee, false))
+	return inFavour == against && inFavour+against == committee.Size()
+}
+
+// Rivals returns the open proposals that proposal collides with.
+func (state State) Rivals(proposal Proposal) []Proposal {
+	var rivals []Proposal
+	for _, other := range state.proposals {
+		if proposal.Collides(other) {
+			rivals = append(rivals, other)
+		}
+	}
+	return rivals
+}
+
+// Overtaken returns the marks of accepted changes that proposal's author had
+// not seen, on objects that it touches.
+func (state State) Overtaken(proposal Proposal) []definer.Mark {
+	var marks []definer.Mark
+	for _, change := range proposal.changes {
+		mark, ok := state.configuration.Mark(change.Touches())
+		if ok && mark.Revision() > proposal.base {
+			marks = append(marks, mark)
+		}
+	}
+	return marks
+}
+
+// Disputed reports whether proposal collides with an open proposal or an
+// accepted change, and the chair has not ruled for it.
+func (state State) Disputed(proposal Proposal) bool {
+	if proposal.prevails {
+		return false
+	}
+	return len(state.Rivals(proposal)) > 0 || len(state.Overtaken(proposal)) > 0
+}
+
+// settle closes proposals until none is left that the votes decide.
+func (state State) settle(now time.Time) State {
+	for index := 0; index < len(state.proposals); index++ {
+		proposal := state.proposals[index]
+		result := state.verdict(proposal)
+		if result == Open {
+			continue
+		}
+		if result == Accepted {
+			state = state.accept(proposal, decisionOn(proposal), now)
+		} else {
+			state = state.close(proposal, result, now)
+		}
+		index = -1
+	}
+	return state
+}
+
+func decisionOn(proposal Proposal) definer.Decision {
+	if proposal.prevails {
+		return definer.ByRuling
+	}
+	return definer.ByMajority
+}
+
+// verdict returns what the votes make of proposal.
+func (state State) verdict(proposal Proposal) Result {
+	committee := state.configuration.Committee()
+	if committee.IsMajority(len(proposal.voters(committee, false))) {
+		return Rejected
+	}
+	if !committee.IsMajority(len(proposal.voters(committee, true))) || state.Disputed(proposal) {
+		return Open
+	}
+	if _, err := state.configuration.Apply(proposal.changes...); err != nil {
+		return Unfit
+	}
+	return Accepted
+}
+
+// accept makes proposal the next revision, or closes it where it doesn't fit.
+func (state State) accept(proposal Proposal, decision definer.Decision, now time.Time) State {
+	voters := proposal.voters(state.configuration.Committee(), true)
+	origin := definer.NewOrigin(proposal.id, proposal.author, now, voters, decision)
+	step := definer.NewStep(state.Revision()+1, proposal.changes, origin)
+	next, err := state.configuration.Follow(step)
+	if err != nil {
+		return state.close(proposal, Unfit, now)
+	}
+	state.configuration = next
+	state.steps = append(state.steps, step)
+	return state.close(proposal, Accepted, now)
+}
+
+// close takes proposal off the open ones and remembers result.
+func (state State) close(proposal Proposal, result Result, now time.Time) State {
+	same := func(other Proposal) bool { return other.id == proposal.id }
+	state.proposals = slices.DeleteFunc(slices.Clone(state.proposals), same)
+	outcome := NewOutcome(proposal.id, result, proposal.id, state.Revision(), now)
+	state.outcomes = append(slices.Clone(state.outcomes), outcome)
+	return state
+}
+
+// replace puts proposal in the place of the open one of its id.
+func (state State) replace(proposal Proposal) State {
+	state.proposals = slices.Clone(state.proposals)
+	for index := range state.proposals {
+		if state.proposals[index].id == proposal.id {
+			state.proposals[index] = proposal
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/definer/committee.go
@@ -0,0 +1,137 @@
+package definer
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"maps"
+	"slices"
+)
+
+// Member is an operator with a seat and a vote in the committee.
+type Member struct {
+	name string
+	// key verifies what the member signs; ed25519.PublicKeySize bytes.
+	key ed25519.PublicKey
+}
+
+// NewMember returns a member who signs with the private half of key.
+func NewMember(name string, key ed25519.PublicKey) Member {
+	return Member{name: name, key: bytes.Clone(key)}
+}
+
+// Name returns the member's name, unique in the committee.
+func (member Member) Name() string { return member.name }
+
+// Key returns the public key of the member; callers must not change it.
+func (member Member) Key() ed25519.PublicKey { return member.key }
+
+// Committee is the operators who vote, one of them as the chair. The zero
+// value has no members.
+type Committee struct {
+	members map[string]Member
+	// chair names one of members, once there are any.
+	chair string
+}
+
+// Member returns the member called name.
+func (committee Committee) Member(name string) (Member, bool) {
+	member, ok := committee.members[name]
+	return member, ok
+}
+
+// Members returns all members by name.
+func (committee Committee) Members() []Member { return sorted(committee.members) }
+
+// Size returns how many members there are.
+func (committee Committee) Size() int { return len(committee.members) }
+
+// Chair returns the name of the member whose casting vote settles ties and
+// collisions.
+func (committee Committee) Chair() string { return committee.chair }
+
+// IsMajority reports whether votes are more than half of the committee.
+func (committee Committee) IsMajority(votes int) bool { return 2*votes > len(committee.members) }
+
+func (committee Committee) withMember(member Member) Committee {
+	committee.members = cloneMap(committee.members)
+	committee.members[member.name] = member
+	return committee
+}
+
+func (committee Committee) withoutMember(name string) Committee {
+	committee.members = cloneMap(committee.members)
+	delete(committee.members, name)
+	return committee
+}
+
+// Committee returns the operators who vote on changes.
+func (configuration *Configuration) Committee() Committee { return configuration.committee }
+
+// WithMember returns a copy whose committee holds member; the first member is
+// the chair.
+func (configuration *Configuration) WithMember(member Member) *Configuration {
+	clone := configuration.clone()
+	clone.committee = clone.committee.withMember(member)
+	if clone.committee.chair == "" {
+		clone.committee.chair = member.name
+	}
+	return clone
+}
+
+// WithoutMember returns a copy whose committee lacks the member called name.
+func (configuration *Configuration) WithoutMember(name string) *Configuration {
+	clone := configuration.clone()
+	clone.committee = clone.committee.withoutMember(name)
+	return clone
+}
+
+// WithChair returns a copy whose committee is chaired by name.
+func (configuration *Configuration) WithChair(name string) *Configuration {
+	clone := configuration.clone()
+	clone.committee.chair = name
+	return clone
+}
+
+// WithoutService returns a copy that lacks the service called name.
+func (configuration *Configuration) WithoutService(name string) *Configuration {
+	clone := configuration.clone()
+	delete(clone.services, name)
+	return clone
+}
+
+// WithoutPool returns a copy that lacks the pool called name.
+func (configuration *Configuration) WithoutPool(name string) *Configuration {
+	clone := configuration.clone()
+	delete(clone.pools, name)
+	return clone
+}
+
+// WithoutEndpoint returns a copy that lacks the endpoint called name.
+func (configuration *Configuration) WithoutEndpoint(name string) *Configuration {
+	clone := configuration.clone()
+	delete(clone.endpoints, name)
+	return clone
+}
+
+// WithoutRule returns a copy that lacks the rule called name.
+func (configuration *Configuration) WithoutRule(name string) *Configuration {
+	clone := configuration.clone()
+	delete(clone.rules, name)
+	return clone
+}
+
+// Equal reports whether both hold the same objects and committee at the same
+// revision.
+func (configuration *Configuration) Equal(other *Configuration) bool {
+	return configuration.revision == other.revision &&
+		maps.Equal(configuration.services, other.services) &&
+		maps.Equal(configuration.pools, other.pools) &&
+		maps.Equal(configuration.endpoints, other.endpoints) &&
+		maps.Equal(configuration.rules, other.rules) &&
+		configuration.committee.chair == other.committee.chair &&
+		slices.EqualFunc(configuration.committee.Members(), other.committee.Members(), Member.equal)
+}
+
+func (member Member) equal(other Member) bool {
+	return member.name == other.name && bytes.Equal(member.key, other.key)
+}
--- a/internal/definer/configuration.go
+++ b/internal/definer/configuration.go
@@ -16,6 +16,10 @@
 	pools     map[string]struct{}
 	endpoints map[string]Endpoint
 	rules     map[string]Rule
+	committee Committee
+	// marks says which revision changed each object last; also for objects
+	// that were removed within MemoryOfRemoved revisions.
+	marks map[Object]Mark
 }
 
 // Revision returns the revision, which only rises.
@@ -119,11 +123,13 @@
 		pools:     cloneMap(configuration.pools),
 		endpoints: cloneMap(configuration.endpoints),
 		rules:     cloneMap(configuration.rules),
+		committee: configuration.committee,
+		marks:     cloneMap(configuration.marks),
 	}
 }
 
-func cloneMap[V any](from map[string]V) map[string]V {
-	to := make(map[string]V, len(from)+1)
+func cloneMap[K comparable, V any](from map[K]V) map[K]V {
+	to := make(map[K]V, len(from)+1)
 	maps.Copy(to, from)
 	return to
 }
