--- a/internal/encoder/change.go
+++ b/internal/encoder/change.go
@@ -49,11 +49,11 @@
 		definer.WithDeadline(time.Duration(message.GetDeadlineNanoseconds())))
 }
 
-func memberMessage(member definer.Member) *Member {
-	return &Member{Name: member.Name(), Key: member.Key()}
+func memberMessage(member definer.Member) *CommitteeMember {
+	return &CommitteeMember{Name: member.Name(), Key: member.Key()}
 }
 
-func readMember(message *Member) definer.Member {
+func readMember(message *CommitteeMember) definer.Member {
 	return definer.NewMember(message.GetName(), ed25519.PublicKey(message.GetKey()))
 }
 
