--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,161 @@
+// Package runner builds the daemon of an entry host: it makes every part,
+// joins them, and runs them as one supervisor tree. It decides nothing.
+//
+// The tree, in the order of start; it stops in the reverse order:
+//
+//	links      messenger, lender
+//	fleet      monitor
+//	platform   follower, claimer, quarantiner
+//	routing    updater
+//	front      acceptor, usher
+//
+// The usher stops first: it tells the peers that the host leaves and waits
+// until callers' answers of where to go ran out, while all else still works.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/chivespool/chivespool/internal/acceptor"
+	"github.com/chivespool/chivespool/internal/claimer"
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/follower"
+	"github.com/chivespool/chivespool/internal/lender"
+	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/quarantiner"
+	"github.com/chivespool/chivespool/internal/recorder"
+	"github.com/chivespool/chivespool/internal/router"
+	"github.com/chivespool/chivespool/internal/sender"
+	"github.com/chivespool/chivespool/internal/setter"
+	"github.com/chivespool/chivespool/internal/supervisor"
+)
+
+// Daemon is one entry host's process. Make one with New.
+type Daemon struct {
+	settings *setter.Settings
+	// self has the start's time as its incarnation, so it rises.
+	self     definer.Host
+	recorder *recorder.Recorder
+	registry metrics.Registry
+
+	store    *connector.Store
+	hostList *connector.HostList
+
+	messenger   *messenger.Messenger
+	lender      *lender.Lender
+	members     *members
+	follower    *follower.Follower
+	claimer     *claimer.Claimer
+	quarantiner *quarantiner.Quarantiner
+	router      *router.Router
+	sender      *sender.Sender
+	dispatcher  *dispatcher.Dispatcher
+	acceptor    *acceptor.Acceptor
+}
+
+// New returns a daemon with all parts made and joined; nothing runs yet.
+func New(settings *setter.Settings) *Daemon {
+	daemon := &Daemon{
+		settings: settings,
+		self:     settings.Host(uint64(time.Now().UnixNano())),
+		recorder: &recorder.Recorder{},
+		registry: metrics.NewRegistry(),
+	}
+	daemon.recorder.SetProcess(settings.Name())
+	daemon.makePlatform()
+	daemon.makeLinks()
+	daemon.makeRouting()
+	daemon.makeFront()
+	return daemon
+}
+
+func (daemon *Daemon) makePlatform() {
+	settings := daemon.settings
+	timeout := connector.WithTimeout(settings.PlatformTimeout())
+	registry := connector.WithRegistry(daemon.registry)
+	daemon.store = connector.NewStore(settings.Store(), timeout, registry)
+	daemon.hostList = connector.NewHostList(settings.HostList(), timeout, registry)
+	daemon.follower = follower.New(daemon.store, &fetcher{daemon: daemon}, daemon.recorder)
+
+	daemon.claimer = &claimer.Claimer{}
+	daemon.claimer.SetStore(daemon.store)
+	daemon.claimer.SetHosts(&claimants{daemon: daemon})
+	daemon.claimer.SetForwarder(&forwarder{daemon: daemon})
+	daemon.claimer.SetLimits(claimer.DefaultLimits().WithShards(settings.ClaimShards()).
+		WithRetention(settings.ClaimRetention()).WithMost(settings.ClaimMost()))
+
+	daemon.quarantiner = &quarantiner.Quarantiner{}
+	daemon.quarantiner.SetStore(daemon.store)
+	daemon.quarantiner.SetAnnouncer(&announcer{daemon: daemon})
+}
+
+func (daemon *Daemon) makeLinks() {
+	daemon.messenger = &messenger.Messenger{}
+	daemon.messenger.SetSelf(daemon.self)
+	daemon.messenger.SetNetwork(&messenger.TCP{})
+	daemon.messenger.SetRecorder(daemon.recorder)
+	daemon.messenger.Handle(&peerHandler{daemon: daemon})
+	daemon.lender = lender.New(daemon.messenger)
+	daemon.members = newMembers(daemon.self, daemon.hostList)
+}
+
+func (daemon *Daemon) makeRouting() {
+	settings := daemon.settings
+	daemon.router = &router.Router{}
+	daemon.router.SetLender(daemon.lender)
+	daemon.messenger.OnDown(daemon.router.ForgetBorrower)
+	daemon.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeadBytes())
+	daemon.dispatcher = dispatcher.New(daemon.follower, daemon.router, daemon.sender, daemon.recorder)
+	daemon.dispatcher.SetLimits(settings.Attempts(), settings.RequestTimeout(), settings.RetryShare())
+	daemon.dispatcher.SetClaimer(daemon.claimer)
+	daemon.dispatcher.SetQuarantiner(daemon.quarantiner)
+}
+
+func (daemon *Daemon) makeFront() {
+	settings := daemon.settings
+	limits := acceptor.NewLimits(settings.HeaderBytes(), settings.HeaderTimeout(), settings.IdleTimeout(), settings.BodyTimeout())
+	daemon.acceptor = acceptor.New(daemon.self, daemon.dispatcher, &placer{daemon: daemon}, limits)
+	daemon.acceptor.SetLeaveBound(settings.LeaveBound())
+}
+
+// Run runs the daemon until ctx is done, then stops it gracefully.
+func (daemon *Daemon) Run(ctx context.Context) error {
+	klog.InfoS("starts", "host", daemon.self.Name(), "place", daemon.self.Place().String(), "address", daemon.self.Address())
+	daemon.recorder.Record(recorder.KindProcess, daemon.self.Name(), "starts")
+	err := daemon.tree().Run(ctx)
+	_ = daemon.router.Close()
+	_ = daemon.sender.Close()
+	_ = daemon.store.Close()
+	_ = daemon.hostList.Close()
+	if err != nil {
+		return fmt.Errorf("the daemon of %s gave up: %w", daemon.self.Name(), err)
+	}
+	klog.InfoS("stopped", "host", daemon.self.Name())
+	return nil
+}
+
+func (daemon *Daemon) tree() *supervisor.Tree {
+	var links, fleet, platform, routing, front, root supervisor.Tree
+	links.Add("messenger", daemon.messenger)
+	links.Add("lender", daemon.lender)
+	fleet.Add("members", daemon.members)
+	platform.Add("follower", daemon.follower)
+	platform.Add("claimer", daemon.claimer)
+	platform.Add("quarantiner", daemon.quarantiner)
+	routing.Add("updater", &updater{daemon: daemon})
+	front.Add("acceptor", daemon.acceptor)
+	front.Add("usher", &usher{daemon: daemon})
+	root.Add("links", &links)
+	root.Add("fleet", &fleet)
+	root.Add("platform", &platform)
+	root.Add("routing", &routing)
+	root.Add("front", &front)
+	return &root
+}
--- /dev/null
+++ b/internal/runner/updater.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/locator"
+	"github.com/chivespool/chivespool/internal/recorder"
+)
+
+// updater hands each new configuration and membership to those that use it.
+type updater struct {
+	daemon *Daemon
+}
+
+// Run updates until ctx is done.
+func (updater *updater) Run(ctx context.Context) error {
+	for {
+		configured := updater.daemon.follower.Changed()
+		moved := updater.daemon.members.Changed()
+		updater.update()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-configured:
+		case <-moved:
+		}
+	}
+}
+
+func (updater *updater) update() {
+	daemon := updater.daemon
+	hosts := daemon.members.Hosts()
+	daemon.messenger.SetPeers(hosts)
+	daemon.router.Update(daemon.follower.Current(), daemon.self, hosts)
+	daemon.router.SetDraining(daemon.members.Draining())
+	daemon.follower.SetWatcher(daemon.members.Watcher())
+}
+
+// usher makes a planned stop graceful: it says that the host leaves, and holds
+// the stop until no caller keeps an answer that names the host.
+type usher struct {
+	daemon *Daemon
+}
+
+// Run waits for the stop and then for the callers.
+func (usher *usher) Run(ctx context.Context) error {
+	<-ctx.Done()
+	daemon := usher.daemon
+	klog.InfoS("leaves", "host", daemon.self.Name(), "hold", daemon.settings.HoldTime())
+	daemon.recorder.Record(recorder.KindProcess, daemon.self.Name(), "leaves")
+	daemon.members.Leave()
+	time.Sleep(daemon.settings.HoldTime())
+	return nil
+}
+
+// placer tells callers where to go.
+type placer struct {
+	daemon *Daemon
+}
+
+// Locate returns the entry hosts for service, nearest first.
+func (placer *placer) Locate(service string, place definer.Place, seed string) (locator.Answer, bool) {
+	daemon := placer.daemon
+	return locator.Locate(daemon.follower.Current(), daemon.members.Hosts(), service, place, seed)
+}
