router, keeper: exact slots, loans, lanes, a bounded queue and early refusal

The Router counts slots at the home, queues by lane and priority, refuses what can't be answered in time, borrows from other homes while requests wait, and places by two choices where no home is in reach.

--- /dev/null
+++ b/internal/keeper/status.go
@@ -0,0 +1,64 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// EndpointStatus is a snapshot of one endpoint, for operators.
+type EndpointStatus struct {
+	endpoint definer.Endpoint
+	inFlight int
+	limit    int
+	slowness float64
+	state    string
+}
+
+// Endpoint returns the endpoint as defined.
+func (endpointStatus EndpointStatus) Endpoint() definer.Endpoint { return endpointStatus.endpoint }
+
+// InFlight returns how many slots are taken.
+func (endpointStatus EndpointStatus) InFlight() int { return endpointStatus.inFlight }
+
+// Limit returns how many slots may be taken now.
+func (endpointStatus EndpointStatus) Limit() int { return endpointStatus.limit }
+
+// Slowness returns how many times the expected time a request takes.
+func (endpointStatus EndpointStatus) Slowness() float64 { return endpointStatus.slowness }
+
+// State returns why the endpoint gets no or little work, or ready: drained
+// (by operators), draining, ejected, paused, slow or cold.
+func (endpointStatus EndpointStatus) State() string { return endpointStatus.state }
+
+// Status returns a snapshot of the endpoints by name.
+func (keeper *Keeper) Status(now time.Time) []EndpointStatus {
+	statuses := make([]EndpointStatus, 0, len(keeper.endpoints))
+	for _, endpoint := range keeper.endpoints {
+		slowness := endpoint.slowness(now, &keeper.Learner)
+		statuses = append(statuses, EndpointStatus{
+			endpoint: endpoint.Endpoint, inFlight: len(endpoint.running), limit: endpoint.limit(),
+			slowness: slowness, state: endpoint.state(now, slowness),
+		})
+	}
+	return statuses
+}
+
+func (endpoint *endpoint) state(now time.Time, slowness float64) string {
+	switch {
+	case endpoint.Drained():
+		return "drained"
+	case endpoint.draining(now):
+		return "draining"
+	case endpoint.ejected(now):
+		return "ejected"
+	case endpoint.paused(now):
+		return "paused"
+	case slowness > slowRatio:
+		return "slow"
+	case !endpoint.warm():
+		return "cold"
+	default:
+		return "ready"
+	}
+}
--- /dev/null
+++ b/internal/router/borrowing.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/keeper"
+)
+
+const (
+	// homeDownTime is how long a home that was out of reach is left alone.
+	homeDownTime = 200 * time.Millisecond
+	// reachTime is how long the first request of a lane waits before homes in
+	// other regions are asked: the region is exhausted then.
+	reachTime = 30 * time.Millisecond
+)
+
+// borrowKey allows one outstanding want for each home and lane.
+type borrowKey struct {
+	home string
+	lane definer.Lane
+}
+
+// borrowing keeps one want at one home while requests wait here.
+type borrowing struct {
+	pool *pool
+	home *otherHome
+	lane definer.Lane
+	// cancel takes the want back; guarded by the pool's mu.
+	cancel context.CancelFunc
+}
+
+// borrow starts a borrowing for each lane in which requests wait and each home
+// that may help, and takes back the wants of lanes in which none waits.
+func (pool *pool) borrow(now time.Time) {
+	for key, borrowing := range pool.borrowings {
+		if pool.queue.counts[key.lane] == 0 {
+			borrowing.cancel()
+		}
+	}
+	if pool.queue.len() == 0 || pool.closed || pool.baseline() || !pool.router.canBorrow() {
+		return
+	}
+	for _, lane := range [lanes]definer.Lane{definer.Short, definer.Long} {
+		head := pool.borrower(lane)
+		if head == nil {
+			continue
+		}
+		for _, home := range pool.homes {
+			pool.borrowFrom(now, home, lane, head)
+		}
+	}
+}
+
+// borrower returns the first request of our own that waits in lane, or nil.
+func (pool *pool) borrower(lane definer.Lane) *waiter {
+	for _, waiter := range pool.queue.first(lane, lookahead) {
+		if waiter.borrower == "" {
+			return waiter
+		}
+	}
+	return nil
+}
+
+func (pool *pool) borrowFrom(now time.Time, home *otherHome, lane definer.Lane, head *waiter) {
+	key := borrowKey{home: home.name, lane: lane}
+	if pool.borrowings[key] != nil || now.Before(home.downUntil) {
+		return
+	}
+	if !home.near && (now.Sub(head.since) < reachTime || !pool.router.meter.allows(now, home.region)) {
+		return
+	}
+	if pool.borrowings == nil {
+		pool.borrowings = make(map[borrowKey]*borrowing)
+	}
+	borrowing := &borrowing{pool: pool, home: home, lane: lane, cancel: func() {}}
+	pool.borrowings[key] = borrowing
+	pool.router.tasks.Add(1)
+	go borrowing.run()
+}
+
+// run borrows slots one after another while requests wait.
+func (borrowing *borrowing) run() {
+	pool := borrowing.pool
+	defer pool.router.tasks.Done()
+	for {
+		ctx, want, ok := borrowing.next()
+		if !ok {
+			return
+		}
+		lender := pool.router.currentLender()
+		pool.router.meter.count(borrowing.home.region, wantBytes)
+		loan, err := lender.Borrow(ctx, borrowing.home.name, want)
+		if err != nil && ctx.Err() == nil {
+			borrowing.fail(time.Now())
+			return
+		}
+		if err == nil && !borrowing.use(time.Now(), loan) {
+			pool.router.giveBack(pool, borrowing.home.name, loan, NewResult(Unused, 0))
+		}
+	}
+}
+
+// next returns the next want, or false where the borrowing ends.
+func (borrowing *borrowing) next() (context.Context, Want, bool) {
+	pool := borrowing.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	borrowing.cancel()
+	head := pool.borrower(borrowing.lane)
+	if head == nil || pool.closed || !slices.Contains(pool.homes, borrowing.home) {
+		delete(pool.borrowings, borrowing.key())
+		return nil, Want{}, false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	borrowing.cancel = cancel
+	request := head.request
+	request.lane = borrowing.lane
+	return ctx, NewWant(request, true), true
+}
+
+func (borrowing *borrowing) key() borrowKey {
+	return borrowKey{home: borrowing.home.name, lane: borrowing.lane}
+}
+
+// fail ends the borrowing after an error of the home or on the way to it.
+func (borrowing *borrowing) fail(now time.Time) {
+	pool := borrowing.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	borrowing.cancel()
+	borrowing.home.down(now)
+	delete(pool.borrowings, borrowing.key())
+	pool.pump(now)
+}
+
+// use gives loan to the first request that can use it.
+func (borrowing *borrowing) use(now time.Time, loan Loan) bool {
+	pool := borrowing.pool
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if _, ok := pool.endpoints[loan.endpoint]; !ok {
+		return false
+	}
+	for _, waiter := range pool.queue.first(borrowing.lane, lookahead) {
+		if waiter.borrower != "" || slices.Contains(waiter.request.avoid, loan.endpoint) {
+			continue
+		}
+		pool.counters.borrowed++
+		borrowing.home.asked++
+		pool.deliver(now, waiter, grant{home: borrowing.home.name, loan: loan})
+		pool.pump(now)
+		return true
+	}
+	return false
+}
+
+// baseline reports whether a baseline policy is measured, which borrows nothing.
+func (pool *pool) baseline() bool { return pool.policy != "" && pool.policy != keeper.Slots }
--- a/internal/router/lender.go
+++ b/internal/router/lender.go
@@ -11,7 +11,8 @@
 type Lender interface {
 	// Borrow asks home for a slot. It may wait at the home until ctx ends. An
 	// error that is a *refuser.Refusal is the home's own answer; any other
-	// means that the home was out of reach.
+	// means that the home was out of reach. After an error no loan stands: one
+	// that is granted just then is given back by the Lender.
 	Borrow(ctx context.Context, home string, want Want) (Loan, error)
 	// GiveBack ends loan and tells the home what was learned. It does not
 	// wait for the home.
@@ -27,6 +28,8 @@
 	deadline time.Time
 	isolated bool
 	avoid    []string
+	// class may be empty; it sharpens the home's judgement of run times.
+	class string
 	// spare is true where a slot is wanted only if the home has no use for it.
 	spare bool
 }
@@ -36,7 +39,7 @@
 func NewWant(request Request, spare bool) Want {
 	return Want{
 		pool: request.pool, lane: request.lane, priority: request.priority, deadline: request.deadline,
-		isolated: request.isolated, avoid: request.avoid, spare: spare,
+		isolated: request.isolated, avoid: request.avoid, class: request.class, spare: spare,
 	}
 }
 
@@ -44,7 +47,7 @@
 func (want Want) Request() Request {
 	return Request{
 		pool: want.pool, lane: want.lane, priority: want.priority, deadline: want.deadline,
-		isolated: want.isolated, avoid: want.avoid,
+		isolated: want.isolated, avoid: want.avoid, class: want.class,
 	}
 }
 
--- /dev/null
+++ b/internal/router/update.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/keeper"
+	"github.com/chivespool/chivespool/internal/locator"
+	"github.com/chivespool/chivespool/internal/refuser"
+)
+
+// set takes in settings.
+func (pool *pool) set(settings settings) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.queueLength = settings.queueLength
+	if pool.queueLength == 0 {
+		pool.queueLength = DefaultQueueLength
+	}
+	pool.policy = settings.policy
+	pool.own.SetLongShare(settings.longShare)
+	pool.everywhere.SetLongShare(settings.longShare)
+	if pool.baseline() {
+		pool.everywhere.SetPolicy(pool.policy, true)
+	} else {
+		pool.everywhere.SetPolicy(keeper.TwoChoices, false)
+	}
+}
+
+// update takes in the pool's homes and endpoints.
+func (pool *pool) update(now time.Time, self definer.Host, homes []locator.Home, endpoints []definer.Endpoint, draining []string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.place = self.Place()
+	pool.homes = otherHomes(homes, self, pool.homes)
+	pool.endpoints = make(map[string]definer.Endpoint, len(endpoints))
+	for _, endpoint := range endpoints {
+		pool.endpoints[endpoint.Name()] = endpoint
+	}
+	var own []definer.Endpoint
+	for _, home := range homes {
+		if home.Host().Name() == self.Name() {
+			own = home.Endpoints()
+		}
+	}
+	pool.own.SetEndpoints(own)
+	pool.everywhere.SetEndpoints(endpoints)
+	pool.own.SetDraining(draining)
+	pool.everywhere.SetDraining(draining)
+	pool.pump(now)
+}
+
+// setDraining names the endpoints that others say are draining.
+func (pool *pool) setDraining(now time.Time, names []string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.own.SetDraining(names)
+	pool.everywhere.SetDraining(names)
+	pool.pump(now)
+}
+
+// close refuses all who wait and ends the borrowings.
+func (pool *pool) close() {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	pool.closed = true
+	waiters := append(pool.queue.all(), pool.wants...)
+	pool.wants = nil
+	for _, waiter := range waiters {
+		pool.queue.remove(waiter)
+		waiter.ready <- pool.refuse(refuser.KindLeaving, "the entry host stops or the pool is gone", 0)
+	}
+	for _, borrowing := range pool.borrowings {
+		borrowing.cancel()
+	}
+}
