generator: open load with checks of answers, journals and plots

chivesbench load sends a seeded Poisson load, steady or swinging, through pkg/client, tells cut, doubled and foreign answers from whole ones, compares refusals and unrepeatable requests with the journals of the backend servers, and writes a table, JSON and plots.

An entry host makes its own Request-Id, so the stand-ins take the caller's id from Work-Id first. A test damages answers on purpose and wants each kind of damage counted.

--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -22,6 +22,7 @@
 			storeCommand(),
 			hostListCommand(),
 			backendCommand(),
+			loadCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
--- a/internal/emulator/backend_handler.go
+++ b/internal/emulator/backend_handler.go
@@ -23,6 +23,7 @@
 
 // The headers by which callers ask the stand-in for work.
 const (
+	headerWorkID    = "Work-Id"
 	headerWork      = "Work-Ms"
 	headerKind      = "Work-Kind"
 	headerBytes     = "Answer-Bytes"
@@ -93,7 +94,7 @@
 // run runs a request that has a slot.
 func (backend *Backend) run(ctx context.Context, c echo.Context) error {
 	request := c.Request()
-	id := request.Header.Get(headerID)
+	id := workID(request)
 	backend.journal.start(id)
 	if request.Header.Get(headerKind) == kindCrash {
 		backend.Crash()
@@ -114,6 +115,15 @@
 	return backend.answer(c, NewAnswer(id, int64(number(request.Header.Get(headerBytes))), digest.Sum64()))
 }
 
+// workID returns the id that the caller gave the request, which an entry host
+// passes on as any header, or else the one that the entry host made.
+func workID(request *http.Request) string {
+	if id := request.Header.Get(headerWorkID); id != "" {
+		return id
+	}
+	return request.Header.Get(headerID)
+}
+
 // answer sends answer with the load report. Where the request asks for it the
 // answer is cut in the middle.
 func (backend *Backend) answer(c echo.Context, answer *Answer) error {
--- /dev/null
+++ b/internal/generator/generator_test.go
@@ -0,0 +1,144 @@
+package generator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chivespool/chivespool/internal/emulator"
+	"github.com/chivespool/chivespool/pkg/client"
+)
+
+// entry is a false entry host that damages some answers on purpose. Requests
+// whose body or size it needs are told by the headers that callers send.
+type entry struct {
+	address string
+	// damage says what to do to the request with a number.
+	damage map[string]string
+	runs   map[string]emulator.Runs
+}
+
+func (entry *entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/where" {
+		where := client.NewWhere(request.URL.Query().Get("service"), []string{entry.address}, time.Hour)
+		_ = json.NewEncoder(writer).Encode(where)
+		return
+	}
+	id := request.Header.Get("Work-Id")
+	number := id[strings.LastIndex(id, "-")+1:]
+	entry.answer(writer, request, id, entry.damage[number])
+}
+
+func (entry *entry) answer(writer http.ResponseWriter, request *http.Request, id, damage string) {
+	var size int64
+	_, _ = fmt.Sscan(request.Header.Get("Answer-Bytes"), &size)
+	digest := xxhash.New()
+	_, _ = io.Copy(digest, request.Body)
+	answer := emulator.NewAnswer(id, size, digest.Sum64())
+	runs := emulator.Runs{Started: 1}
+	switch damage {
+	case "cut":
+		_, _ = io.CopyN(writer, answer, answer.Length()-1)
+	case "double":
+		_, _ = io.Copy(writer, answer)
+		_, _ = io.Copy(writer, emulator.NewAnswer(id, size, digest.Sum64()))
+	case "mix up":
+		_, _ = io.Copy(writer, emulator.NewAnswer(id+"0", size, digest.Sum64()))
+	case "break":
+		panic(http.ErrAbortHandler)
+	case "lie", "refuse":
+		writer.Header().Set("Content-Type", client.ProblemType)
+		writer.Header().Set("Proxy-Status", "test")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(writer).Encode(client.Problem{Kind: "overloaded", Ran: client.RanNo})
+	case "run twice":
+		runs.Started = 2
+		_, _ = io.Copy(writer, answer)
+	default:
+		_, _ = io.Copy(writer, answer)
+	}
+	if damage != "refuse" {
+		entry.runs[id] = runs
+	}
+}
+
+func TestDamageIsFound(t *testing.T) {
+	entry := &entry{runs: make(map[string]emulator.Runs), damage: map[string]string{
+		"3": "cut", "4": "double", "5": "mix up", "6": "break", "7": "lie", "8": "refuse", "9": "run twice",
+	}}
+	server := httptest.NewServer(entry)
+	defer server.Close()
+	entry.address = strings.TrimPrefix(server.URL, "http://")
+	plan := Plan{
+		Label: "t", Services: []string{"tile"}, Callers: 1, Rate: 1e6, DurationMs: 1e6,
+		PostShare: 1, AnswerBytes: 100_000, TimeoutMs: 1e6, LongTimeoutMs: 1e6,
+	}
+	generator := New(plan, []string{entry.address})
+	// One request at a time, so that entry needs no lock.
+	schedule := newSchedule(plan)
+	for range 20 {
+		work, _ := schedule.next()
+		shot := &shot{generator: generator, caller: generator.callers[0], work: work, start: time.Now()}
+		generator.launch(t.Context(), shot)
+		generator.shots.Wait()
+	}
+	report := generator.tally.report(time.Second)
+	report.judge(entry.runs)
+	got := report.Counts
+	want := Counts{
+		Sent: 20, Answered: 14, Refused: 2, Broken: 1, Cut: 1, Doubled: 1, Wrong: 1,
+		RanTwice: 1, NotRunButRun: 1,
+		Refusals: map[string]int{"overloaded (not run)": 2, "connection (unknown)": 1},
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	fault := "1 broken connections, 1 cut, 1 doubled, 1 wrong, 1 ran twice, 1 refused as not run, but run; "
+	if err := report.Fault(); err == nil || !strings.HasPrefix(err.Error(), fault) {
+		t.Fatalf("got %v, want %s", err, fault)
+	}
+}
+
+func TestScheduleFollowsThePlan(t *testing.T) {
+	plan := Plan{
+		Seed: 7, DurationMs: 20_000, Rate: 1000, SwingLow: 0.3, SwingHigh: 1.5, SwingMs: 4000,
+		Services: []string{"a", "b"}, ShortMs: 5, LongMs: 150, LongShare: 0.01, KeyedShare: 0.2, PostShare: 0.1,
+	}
+	var sorts [4]int
+	var crests, total int
+	schedule, again := newSchedule(plan), newSchedule(plan)
+	for {
+		work, ok := schedule.next()
+		if same, _ := again.next(); same != work {
+			t.Fatalf("the same seed gave %v and %v", work, same)
+		}
+		if !ok {
+			break
+		}
+		total++
+		sorts[work.sort]++
+		if plan.rateAt(work.at) > plan.Rate {
+			crests++
+		}
+	}
+	// The mean rate is 0.9 of 1000 a second, and 0.447 of the time is crest.
+	for name, pair := range map[string][2]float64{
+		"total": {float64(total), 18000},
+		"crest": {float64(crests), 11807},
+		"long":  {float64(sorts[sortLong]), 180},
+		"keyed": {float64(sorts[sortKeyed]), 3564},
+		"post":  {float64(sorts[sortPost]), 1782},
+	} {
+		if ratio := pair[0] / pair[1]; ratio < 0.85 || ratio > 1.15 {
+			t.Errorf("%s: got %.0f, want about %.0f", name, pair[0], pair[1])
+		}
+	}
+}
