runner: a golden session of the whole path over three entry hosts

Callers ask where to go, entry hosts in two regions, endpoints, claims and refusals, all over loopback with the stand-ins in the test's process.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -49,9 +49,11 @@
 
 // Acceptor serves callers on one address. Make one with New.
 type Acceptor struct {
-	echo       *echo.Echo
-	server     *http.Server
-	address    string
+	echo    *echo.Echo
+	server  *http.Server
+	address string
+	// listener is set where the address is bound already; else nil.
+	listener   net.Listener
 	name       string
 	place      definer.Place
 	dispatcher Dispatcher
@@ -87,15 +89,18 @@
 // SetLeaveBound bounds how long requests in flight may go on after a stop.
 func (acceptor *Acceptor) SetLeaveBound(bound time.Duration) { acceptor.leaveBound = bound }
 
+// SetListener gives the acceptor an address that is bound already.
+func (acceptor *Acceptor) SetListener(listener net.Listener) { acceptor.listener = listener }
+
 // Group returns the routes below prefix, for other handlers on the address.
 func (acceptor *Acceptor) Group(prefix string) *echo.Group { return acceptor.echo.Group(prefix) }
 
 // Run serves until ctx is done. Then each connection is told to close after
 // its answer, and Run returns when all have ended or the leave bound is over.
 func (acceptor *Acceptor) Run(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", acceptor.address)
+	listener, err := acceptor.listen(ctx)
 	if err != nil {
-		return fmt.Errorf("listen for callers; free the address or change [host] address: %w", err)
+		return err
 	}
 	stopped := make(chan error, 1)
 	stopper := &stopper{acceptor: acceptor, ctx: ctx, stopped: stopped}
@@ -107,6 +112,17 @@
 	return <-stopped
 }
 
+func (acceptor *Acceptor) listen(ctx context.Context) (net.Listener, error) {
+	if acceptor.listener != nil {
+		return acceptor.listener, nil
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", acceptor.address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers; free the address or change [host] address: %w", err)
+	}
+	return listener, nil
+}
+
 // stopper ends the server once its context is done.
 type stopper struct {
 	acceptor *Acceptor
--- /dev/null
+++ b/internal/runner/session_test.go
@@ -0,0 +1,108 @@
+package runner
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/pkg/client"
+)
+
+// TestWholePath is a golden session of the whole path: callers that ask where
+// to go, entry hosts in two regions, endpoints, and the platform.
+func TestWholePath(t *testing.T) {
+	world := newWorld(t)
+	changes := []definer.Change{
+		definer.SetPool("ledger"), definer.SetService(definer.NewService("ledger", "ledger")),
+		definer.SetRule(definer.NewRule("sums", "ledger", http.MethodPost, "/sums", definer.Repeatable(true))),
+	}
+	for index, place := range worldPlaces {
+		changes = append(changes, definer.SetEndpoint(world.endpoint(fmt.Sprintf("ledger-%d", index), "ledger", place)))
+	}
+	world.accept(changes...)
+	for index, place := range worldPlaces {
+		world.daemon(fmt.Sprintf("entry-%d", index), place, "")
+	}
+	callers := client.New(world.daemons[0].self.Address()).WithPlace("nairobi", "nairobi-a")
+	t.Cleanup(func() { _ = callers.Close() })
+	session := &session{world: world, callers: callers}
+	datadriven.RunTest(t, "testdata/whole-path", func(t *testing.T, data *datadriven.TestData) string {
+		switch data.Cmd {
+		case "send":
+			return session.send(t, data)
+		case "endpoint":
+			return session.change(t, data)
+		}
+		t.Fatalf("unknown command %s", data.Cmd)
+		return ""
+	})
+}
+
+// session is one caller's work in a world.
+type session struct {
+	world   *world
+	callers *client.Client
+}
+
+// send sends one request a line, "METHOD service path [header=value ...]",
+// and prints what its caller gets.
+func (session *session) send(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	var output strings.Builder
+	for line := range strings.Lines(data.Input) {
+		fields := strings.Fields(line)
+		request := client.NewRequest(fields[1], fields[0], fields[2], []byte("body"))
+		for _, field := range fields[3:] {
+			name, value, _ := strings.Cut(field, "=")
+			request.Header().Set(name, value)
+		}
+		fmt.Fprintf(&output, "%s\n", session.outcome(t, request))
+	}
+	return output.String()
+}
+
+func (session *session) outcome(t *testing.T, request *client.Request) string {
+	t.Helper()
+	response, err := session.callers.Do(t.Context(), request)
+	var problem *client.Problem
+	if errors.As(err, &problem) {
+		return fmt.Sprintf("%d %s, ran %s: %s", problem.Status, problem.Kind, problem.Ran, problem.Detail)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	size, err := io.Copy(io.Discard, response.Body)
+	text := fmt.Sprintf("%d, %d bytes", response.StatusCode, size)
+	if response.Header.Get("Idempotency-Replayed") != "" {
+		text += ", recorded earlier"
+	}
+	if err != nil {
+		text += ", then " + err.Error()
+	}
+	return text
+}
+
+// change switches a fault of all endpoints: "endpoint fault=value".
+func (session *session) change(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	for _, backend := range session.world.backends {
+		settings := backend.Settings()
+		for _, arg := range data.CmdArgs {
+			switch arg.Key {
+			case "draining":
+				settings.Draining = arg.Vals[0] == "true"
+			case "fail-fast":
+				arg.Scan(t, 0, &settings.FailFast)
+			}
+		}
+		backend.Change(settings)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/runner/world_test.go
@@ -0,0 +1,161 @@
+package runner
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/arbiter"
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/emulator"
+	"github.com/chivespool/chivespool/internal/follower"
+	"github.com/chivespool/chivespool/internal/setter"
+	"github.com/chivespool/chivespool/internal/submitter"
+	"github.com/chivespool/chivespool/internal/supervisor"
+)
+
+// world is a small installation on loopback: the platform's stand-ins, the
+// endpoints of one pool, and entry hosts in one data centre each.
+type world struct {
+	t        *testing.T
+	store    string
+	hostList string
+	key      ed25519.PublicKey
+	backends map[string]*emulator.Backend
+	daemons  []*Daemon
+	stops    []func()
+}
+
+var worldPlaces = []definer.Place{
+	definer.NewPlace("nairobi", "nairobi-a"), definer.NewPlace("nairobi", "nairobi-b"), definer.NewPlace("rift", "rift-a"),
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	key, _, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	world := &world{t: t, key: key, backends: make(map[string]*emulator.Backend)}
+	var store emulator.Store
+	var hostList emulator.HostList
+	world.store = world.serve(store.Handler())
+	world.hostList = world.serve(hostList.Handler())
+	t.Cleanup(world.close)
+	return world
+}
+
+// close stops what runs, the last started first.
+func (world *world) close() {
+	for len(world.stops) > 0 {
+		last := len(world.stops) - 1
+		world.stops[last]()
+		world.stops = world.stops[:last]
+	}
+}
+
+// start runs task until the world closes.
+func (world *world) start(task supervisor.Task) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- task.Run(ctx) }()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-done; err != nil && ctx.Err() == nil {
+			world.t.Error(err)
+		}
+	}
+	world.stops = append(world.stops, stop)
+	return stop
+}
+
+func (world *world) serve(handler http.Handler) string {
+	world.t.Helper()
+	listener, err := emulator.Listen("127.0.0.1:0", handler)
+	if err != nil {
+		world.t.Fatal(err)
+	}
+	world.start(listener)
+	return "http://" + listener.Address()
+}
+
+// endpoint starts an endpoint of pool at place and returns its definition.
+func (world *world) endpoint(name, pool string, place definer.Place) definer.Endpoint {
+	world.t.Helper()
+	backend := emulator.NewBackend(name, emulator.DefaultBackendSettings())
+	world.backends[name] = backend
+	address := strings.TrimPrefix(world.serve(backend.Handler()), "http://")
+	return definer.NewEndpoint(name, pool, address, place, 4)
+}
+
+// accept makes a committee of one, ann, and lets it accept changes.
+func (world *world) accept(changes ...definer.Change) {
+	world.t.Helper()
+	store := connector.NewStore(world.store)
+	defer func() { _ = store.Close() }()
+	founding := []definer.Change{definer.SetMember(definer.NewMember("ann", world.key)), definer.SetChair("ann")}
+	command := arbiter.NewCommand("found", "ann", world.key, time.Now(), arbiter.NewPropose(0, append(founding, changes...)))
+	outcome, err := submitter.New(store, &follower.Follower{}, world.key).Submit(world.t.Context(), command)
+	if err != nil || outcome.Revision() == 0 {
+		world.t.Fatalf("accept: %v, %v", outcome, err)
+	}
+}
+
+// daemon starts an entry host and returns once it has the configuration.
+func (world *world) daemon(name string, place definer.Place, extra string) *Daemon {
+	world.t.Helper()
+	callers, peers := world.listen(), world.listen()
+	text := fmt.Sprintf("[host]\nname = %s\nregion = %s\ndata-centre = %s\naddress = %s\npeer-address = %s\n"+
+		"[platform]\nstore = %s\nhost-list = %s\n[callers]\nhold-time = 100ms\n%s",
+		name, place.Region(), place.DataCentre(), callers.Addr(), peers.Addr(), world.store, world.hostList, extra)
+	settings, err := setter.Parse(name+".ini", []byte(text))
+	if err != nil {
+		world.t.Fatal(err)
+	}
+	daemon := New(settings)
+	daemon.acceptor.SetListener(callers)
+	daemon.messenger.SetNetwork(&boundNetwork{listener: peers})
+	if err := daemon.hostList.Put(world.t.Context(), daemon.self); err != nil {
+		world.t.Fatal(err)
+	}
+	world.start(daemon)
+	for daemon.follower.Current().Revision() == 0 {
+		<-daemon.follower.Changed()
+	}
+	world.daemons = append(world.daemons, daemon)
+	return daemon
+}
+
+func (world *world) listen() net.Listener {
+	world.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		world.t.Fatal(err)
+	}
+	return listener
+}
+
+// boundNetwork dials TCP and listens where it is bound already.
+type boundNetwork struct {
+	net.Dialer
+	listener net.Listener
+}
+
+func (boundNetwork *boundNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return boundNetwork.DialContext(ctx, "tcp", address)
+}
+
+func (boundNetwork *boundNetwork) Listen(context.Context, string) (net.Listener, error) {
+	return boundNetwork.listener, nil
+}
