--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -23,6 +23,8 @@
 			hostListCommand(),
 			backendCommand(),
 			loadCommand(),
+			callCommand(),
+			awaitCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
