--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -21,6 +21,10 @@
 		Commands: []*cli.Command{
 			storeCommand(),
 			hostListCommand(),
+			backendCommand(),
+			loadCommand(),
+			callCommand(),
+			awaitCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
