messenger: refusals, keys read again, and faults of links, with tests

Seen failing first: a link that took no new stream was dropped by the call that noticed it, so that its death was never reported (it is now only marked as spent); the calls over a link were bounded by a count that many could read before any raised it, so that the ones beyond it came back as broken, not as surely not delivered (now a channel bounds them); a host that started again took over without a report that its old start is down; changed key files that can't be used were kept silent.

--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -38,7 +38,7 @@
 		}
 		cause = err
 		if !errors.Is(err, errSaturated) {
-			peer.remove(link)
+			link.spent.Store(true)
 		}
 	}
 	return nil, &CallError{kind: Unreachable, host: host, cause: cause}
@@ -65,18 +65,30 @@
 	}
 }
 
-// open makes a stream for one call.
+// open makes a stream for one call, which release ends.
 func (link *link) open() (*yamux.Stream, error) {
-	if link.session.NumStreams() >= maxStreams {
+	select {
+	case link.calling <- struct{}{}:
+	default:
 		return nil, errSaturated
 	}
-	return link.session.OpenStream()
+	conn, err := link.session.OpenStream()
+	if err != nil {
+		<-link.calling
+	}
+	return conn, err
+}
+
+// release ends a call over conn.
+func (link *link) release(conn *yamux.Stream) {
+	conn.Close()
+	<-link.calling
 }
 
 // call sends request over conn and waits for the reply.
 func (link *link) call(ctx context.Context, conn *yamux.Stream, request *encoder.Request) (*encoder.Reply, error) {
 	link.touch()
-	defer conn.Close()
+	defer link.release(conn)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	stamped := &encoder.Request{Stamp: link.peer.messenger.stamp(), Body: request.GetBody()}
--- a/internal/messenger/credentials.go
+++ b/internal/messenger/credentials.go
@@ -41,6 +41,8 @@
 	pool    *x509.CertPool
 	changed [3]time.Time
 	failure error
+	// news tells of the last change until takeNews.
+	news string
 }
 
 // NewCredentials reads the three PEM files.
@@ -89,7 +91,7 @@
 	credentials.mu.Lock()
 	defer credentials.mu.Unlock()
 	if changed := credentials.stat(); changed != credentials.changed {
-		credentials.failure = credentials.load(changed)
+		credentials.reload(changed)
 	}
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
@@ -100,6 +102,27 @@
 	}
 }
 
+// reload reads files that changed. The caller holds mu.
+func (credentials *Credentials) reload(changed [3]time.Time) {
+	failure := credentials.load(changed)
+	switch {
+	case failure == nil:
+		credentials.news = "key, certificate and authority were read again"
+	case credentials.failure == nil:
+		credentials.news = "changed files can't be used, the old ones stay in use: " + failure.Error()
+	}
+	credentials.failure = failure
+}
+
+// takeNews returns what changed since the last call, or empty.
+func (credentials *Credentials) takeNews() string {
+	credentials.mu.Lock()
+	defer credentials.mu.Unlock()
+	news := credentials.news
+	credentials.news = ""
+	return news
+}
+
 // client secures a connection to the host called name, which it verifies.
 func (credentials *Credentials) client(ctx context.Context, conn net.Conn, name string) (net.Conn, error) {
 	config := credentials.config()
@@ -116,13 +139,22 @@
 
 var errNoCertificate = errors.New("the peer showed no certificate")
 
-// verifyName checks that the peer's certificate is for the host called name.
-func verifyName(conn net.Conn, name string) error {
+// peerCertificate returns the certificate that the peer showed, or nil.
+func peerCertificate(conn net.Conn) *x509.Certificate {
 	secured, ok := conn.(*tls.Conn)
 	if !ok || len(secured.ConnectionState().PeerCertificates) == 0 {
+		return nil
+	}
+	return secured.ConnectionState().PeerCertificates[0]
+}
+
+// verifyName checks that the peer's certificate is for the host called name.
+func verifyName(conn net.Conn, name string) error {
+	certificate := peerCertificate(conn)
+	if certificate == nil {
 		return &CredentialsError{text: "a stranger", cause: errNoCertificate}
 	}
-	if err := secured.ConnectionState().PeerCertificates[0].VerifyHostname(name); err != nil {
+	if err := certificate.VerifyHostname(name); err != nil {
 		return fmt.Errorf("a name that its certificate does not bear: %w", err)
 	}
 	return nil
--- a/internal/messenger/hello.go
+++ b/internal/messenger/hello.go
@@ -79,11 +79,14 @@
 // greet is the dialling side of the handshake.
 func (messenger *Messenger) greet(ctx context.Context, conn net.Conn, name string) (net.Conn, *encoder.Hello, error) {
 	conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	raw := conn
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
 	if credentials := messenger.getCredentials(); credentials != nil {
 		var err error
-		if conn, err = credentials.client(ctx, conn, name); err != nil {
+		conn, err = credentials.client(ctx, conn, name)
+		messenger.recordCredentials(credentials)
+		if err != nil {
 			return nil, nil, err
 		}
 	}
@@ -141,7 +144,9 @@
 	defer stop()
 	if credentials := messenger.getCredentials(); credentials != nil {
 		var err error
-		if conn, err = credentials.server(ctx, conn); err != nil {
+		conn, err = credentials.server(ctx, conn)
+		messenger.recordCredentials(credentials)
+		if err != nil {
 			return nil, fmt.Errorf("a stranger: %w", err)
 		}
 	}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -15,8 +15,11 @@
 
 // Bounds on a link.
 const (
-	// maxStreams bounds the calls that one link serves or makes at a time.
-	maxStreams        = 256
+	// maxCalls bounds the calls that one side makes over a link at a time.
+	maxCalls = 256
+	// maxStreams bounds the calls that one link serves at a time: those that
+	// the peer may make, and as many that it has done with a moment before.
+	maxStreams        = 2 * maxCalls
 	keepAliveInterval = 10 * time.Second
 	writeTimeout      = 3 * time.Second
 	// streamOpenTimeout ends a link whose peer takes no new calls, as a
@@ -41,6 +44,10 @@
 	used atomic.Int64
 	// parted is true once the peer said that it closes the link as idle.
 	parted atomic.Bool
+	// spent is true once the link took no new stream; it is not used any more.
+	spent atomic.Bool
+	// calling has one item for each call that is made over the link.
+	calling chan struct{}
 	// serving has one item for each stream that is served.
 	serving chan struct{}
 	wait    sync.WaitGroup
@@ -64,7 +71,7 @@
 	}
 	link := &link{
 		peer: peer, incarnation: hello.GetIncarnation(), dialled: dialled, session: session,
-		serving: make(chan struct{}, maxStreams),
+		calling: make(chan struct{}, maxCalls), serving: make(chan struct{}, maxStreams),
 	}
 	link.ctx, link.cancel = context.WithCancel(context.Background())
 	link.touch()
@@ -83,15 +90,15 @@
 	}
 	link.abort()
 	link.wait.Wait()
-	if !link.peer.remove(link) || ctx.Err() != nil {
-		return
-	}
-	if errors.Is(err, errIdle) || link.parted.Load() {
+	last := link.peer.remove(link)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, errIdle) || link.parted.Load():
 		messenger.record(link.peer.name, "link is closed, idle")
-		return
+	case last || errors.Is(err, errReplaced):
+		messenger.record(link.peer.name, "last link is down: "+err.Error())
+		messenger.reportDown(link.peer.name)
 	}
-	messenger.record(link.peer.name, "last link is down: "+err.Error())
-	messenger.reportDown(link.peer.name)
 }
 
 var (
@@ -131,7 +138,8 @@
 		stream := &stream{link: link, conn: conn}
 		go stream.run()
 	default:
-		link.peer.messenger.refuse(link.peer.name, "too many calls at a time")
+		link.peer.messenger.refuse(link.peer.name, errSaturated.Error())
+		writeFrame(conn, failed(NewError(Refused, "too-many-calls", errSaturated)), maxFrameBytes)
 		conn.Close()
 	}
 }
--- /dev/null
+++ b/internal/messenger/link_test.go
@@ -0,0 +1,161 @@
+package messenger
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pair starts two hosts that know each other.
+func pair(t *testing.T, network *pipes) (left, right *station) {
+	t.Helper()
+	left, right = newStation(network, "left", 1), newStation(network, "right", 1)
+	left.start(t, right)
+	right.start(t, left)
+	return left, right
+}
+
+func TestBrokenLinkIsReportedAndMadeAgain(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := pair(t, &network)
+		left.echo(t.Context(), "right", "ledger", 0)
+		result := make(chan error, 1)
+		go func() {
+			_, err := left.echo(t.Context(), "right", "never", 0)
+			result <- err
+		}()
+		time.Sleep(time.Second)
+		network.breakAll()
+		wantKind(t, <-result, Broken)
+		synctest.Wait()
+		if len(left.lost) != 1 || len(right.lost) != 1 || len(right.ended) != 1 {
+			t.Errorf("lost %q and %q, %d calls ended", left.lost, right.lost, len(right.ended))
+		}
+		if got, err := left.echo(t.Context(), "right", "ledger", 0); got != "ledger" || err != nil {
+			t.Errorf("over a new link: %q, %v", got, err)
+		}
+		left.stop()
+		right.stop()
+	})
+}
+
+func TestDeadPeerIsDialledSeldom(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := pair(t, &network)
+		right.stop()
+		for range 6000 {
+			_, err := left.echo(t.Context(), "right", "ledger", 0)
+			wantKind(t, err, Unreachable)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if network.dials < 12 || network.dials > 40 {
+			t.Errorf("%d dials in a minute, want one in 2.5 to 5 s after the first few", network.dials)
+		}
+		left.stop()
+	})
+}
+
+func TestFrozenPeerHoldsNoCallBeyondItsDeadline(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := pair(t, &network)
+		left.echo(t.Context(), "right", "ledger", 0)
+		network.freeze()
+		began := time.Now()
+		var calls sync.WaitGroup
+		for range 2 * maxStreams {
+			calls.Go(func() {
+				_, err := left.echo(t.Context(), "right", "ledger", 0)
+				var typed *CallError
+				if !errors.As(err, &typed) {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+		calls.Wait()
+		if took := time.Since(began); took > keepAliveInterval+2*writeTimeout {
+			t.Errorf("calls to a frozen peer ended after %v", took)
+		}
+		synctest.Wait()
+		if len(left.lost) != 1 {
+			t.Errorf("lost %q", left.lost)
+		}
+		left.stop()
+		right.stop()
+	})
+}
+
+func TestIdleLinkIsClosedWithoutAlarm(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := pair(t, &network)
+		left.echo(t.Context(), "right", "ledger", 0)
+		time.Sleep(3 * idleTimeout)
+		for other, station := range map[string]*station{"right": left, "left": right} {
+			peer, _ := station.peerNamed(other)
+			if len(peer.links) != 0 || len(station.lost) != 0 {
+				t.Errorf("%d links, lost %q", len(peer.links), station.lost)
+			}
+		}
+		if got, err := right.echo(t.Context(), "left", "ledger", 0); got != "ledger" || err != nil {
+			t.Errorf("over a new link: %q, %v", got, err)
+		}
+		left.stop()
+		right.stop()
+	})
+}
+
+func TestRestartedPeerReplacesItsOldLinks(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := pair(t, &network)
+		right.echo(t.Context(), "left", "ledger", 0)
+		again := newStation(&network, "right", 2)
+		again.start(t, left)
+		if got, err := again.echo(t.Context(), "left", "tiles", 0); got != "tiles" || err != nil {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		_, err := right.echo(t.Context(), "left", "ledger", 0)
+		wantKind(t, err, Unreachable)
+		synctest.Wait()
+		left.wantEvent(t, "127.0.0.1:1", "an older start")
+		if got, err := left.echo(t.Context(), "right", "tiles", 0); got != "tiles" || err != nil {
+			t.Errorf("to the new start: %q, %v", got, err)
+		}
+		left.stop()
+		right.stop()
+		again.stop()
+	})
+}
+
+func TestMoreCallsThanALinkTakesAreTurnedAway(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := pair(t, &network)
+		left.echo(t.Context(), "right", "ledger", 0)
+		var calls sync.WaitGroup
+		var mu sync.Mutex
+		kinds := make(map[ErrorKind]int)
+		for range maxCalls + 50 {
+			calls.Go(func() {
+				_, err := left.echo(t.Context(), "right", "ledger", time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				var typed *CallError
+				if errors.As(err, &typed) {
+					kinds[typed.Kind()]++
+				}
+			})
+		}
+		calls.Wait()
+		if kinds[Unreachable] != 50 || len(kinds) != 1 {
+			t.Errorf("failures %v, want 50 unreachable", kinds)
+		}
+		left.stop()
+		right.stop()
+	})
+}
--- a/internal/messenger/network_test.go
+++ b/internal/messenger/network_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,12 @@
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
 	dials     int
+	// ends holds both ends of each connection that was made.
+	ends []*pipeConn
+	// frozen is true while new connections carry nothing.
+	frozen bool
+	// bytes and writes count what went over all connections.
+	bytes, writes int
 }
 
 func (pipes *pipes) Listen(_ context.Context, address string) (net.Listener, error) {
@@ -42,10 +49,10 @@
 	if listener == nil {
 		return nil, errors.New("connection refused")
 	}
-	near, far := net.Pipe()
+	near, far := pipes.pipe()
 	select {
-	case listener.conns <- &pipeConn{Conn: far}:
-		return &pipeConn{Conn: near}, nil
+	case listener.conns <- far:
+		return near, nil
 	case <-listener.done:
 		return nil, errors.New("connection refused")
 	case <-ctx.Done():
@@ -53,8 +60,64 @@
 	}
 }
 
+// pipe returns the ends of a new connection.
+func (pipes *pipes) pipe() (near, far *pipeConn) {
+	left, right := net.Pipe()
+	near = &pipeConn{Conn: left, pipes: pipes, done: make(chan struct{})}
+	far = &pipeConn{Conn: right, pipes: pipes, done: make(chan struct{})}
+	pipes.mu.Lock()
+	defer pipes.mu.Unlock()
+	near.frozen.Store(pipes.frozen)
+	far.frozen.Store(pipes.frozen)
+	pipes.ends = append(pipes.ends, near, far)
+	return near, far
+}
+
+// freeze keeps all that is written from now on from arriving, over new
+// connections too, until they are closed.
+func (pipes *pipes) freeze() {
+	pipes.mu.Lock()
+	defer pipes.mu.Unlock()
+	pipes.frozen = true
+	for _, end := range pipes.ends {
+		end.frozen.Store(true)
+	}
+}
+
+// breakAll closes all connections.
+func (pipes *pipes) breakAll() {
+	pipes.mu.Lock()
+	defer pipes.mu.Unlock()
+	for _, end := range pipes.ends {
+		end.Close()
+	}
+}
+
 // pipeConn is an end of a pipe that says it is on loopback.
-type pipeConn struct{ net.Conn }
+type pipeConn struct {
+	net.Conn
+	pipes  *pipes
+	frozen atomic.Bool
+	once   sync.Once
+	done   chan struct{}
+}
+
+func (pipeConn *pipeConn) Write(bytes []byte) (int, error) {
+	if pipeConn.frozen.Load() {
+		<-pipeConn.done
+		return 0, net.ErrClosed
+	}
+	pipeConn.pipes.mu.Lock()
+	pipeConn.pipes.bytes += len(bytes)
+	pipeConn.pipes.writes++
+	pipeConn.pipes.mu.Unlock()
+	return pipeConn.Conn.Write(bytes)
+}
+
+func (pipeConn *pipeConn) Close() error {
+	pipeConn.once.Do(func() { close(pipeConn.done) })
+	return pipeConn.Conn.Close()
+}
 
 func (pipeConn *pipeConn) RemoteAddr() net.Addr {
 	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
@@ -86,8 +149,8 @@
 // echoer answers a borrow request with the name of its pool, after it waited
 // as long as the request says; a pool called "never" waits for ctx.
 type echoer struct {
-	mu    sync.Mutex
-	ended []error
+	ending sync.Mutex
+	ended  []error
 }
 
 func (echoer *echoer) Handle(ctx context.Context, _ string, request *encoder.Request) (*encoder.Reply, error) {
@@ -97,9 +160,9 @@
 	}
 	if borrow.GetPool() == "never" {
 		<-ctx.Done()
-		echoer.mu.Lock()
+		echoer.ending.Lock()
 		echoer.ended = append(echoer.ended, ctx.Err())
-		echoer.mu.Unlock()
+		echoer.ending.Unlock()
 		return nil, ctx.Err()
 	}
 	time.Sleep(time.Duration(borrow.GetWaitMilliseconds()) * time.Millisecond)
@@ -116,6 +179,9 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	err     error
+	mu      sync.Mutex
+	// lost holds the names of peers that were reported down.
+	lost []string
 }
 
 func newStation(network *pipes, name string, incarnation uint64) *station {
@@ -127,6 +193,11 @@
 	station.SetFleet("tausi")
 	station.SetRecorder(&station.line)
 	station.Messenger.Handle(&station.echoer)
+	station.OnDown(func(host string) {
+		station.mu.Lock()
+		defer station.mu.Unlock()
+		station.lost = append(station.lost, host)
+	})
 	return station
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -121,8 +121,10 @@
 func (peer *peer) ask(now time.Time) (*link, <-chan struct{}, error) {
 	peer.mu.Lock()
 	defer peer.mu.Unlock()
-	if count := len(peer.links); count > 0 {
-		return peer.links[count-1], nil, nil
+	for _, link := range slices.Backward(peer.links) {
+		if !link.spent.Load() {
+			return link, nil, nil
+		}
 	}
 	if peer.attempt != nil {
 		return nil, peer.attempt, nil
--- a/internal/messenger/stamp.go
+++ b/internal/messenger/stamp.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// recordCredentials puts changes of the credentials on the time line.
+func (messenger *Messenger) recordCredentials(credentials *Credentials) {
+	if news := credentials.takeNews(); news != "" {
+		messenger.record("credentials", news)
+	}
+}
+
+// maxSkew bounds how far ahead of this host's clock a peer's stamp may be.
+const maxSkew = time.Hour
+
 // stamp returns the time to send along with a message.
 func (messenger *Messenger) stamp() *encoder.Stamp {
 	line := messenger.getRecorder()
@@ -70,7 +80,7 @@
 
 // observe takes in the time of a message received.
 func (messenger *Messenger) observe(stamp *encoder.Stamp) {
-	if line := messenger.getRecorder(); line != nil && stamp != nil {
+	if line := messenger.getRecorder(); line != nil && stamp.GetWall() < time.Now().Add(maxSkew).UnixNano() {
 		line.Observe(recorder.NewStamp(stamp.GetWall(), stamp.GetCounter()))
 	}
 }
