--- /dev/null
+++ b/internal/messenger/cost_test.go
@@ -0,0 +1,144 @@
+package messenger
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/monitor"
+)
+
+// member is a host with its messenger and its monitor.
+type member struct {
+	*station
+	monitor monitor.Monitor
+	hosts   *[]definer.Host
+	// exchanges counts those that the host began.
+	exchanges atomic.Int64
+}
+
+func (member *member) Exchange(ctx context.Context, host string, digest monitor.Digest) (monitor.Digest, error) {
+	member.exchanges.Add(1)
+	return member.Messenger.Exchange(ctx, host, digest)
+}
+
+func (member *member) Hosts(context.Context) ([]definer.Host, error) { return *member.hosts, nil }
+
+func (member *member) Backends(context.Context) ([]connector.Backend, error) { return nil, nil }
+
+// members starts count hosts spread over regions of four data centres each.
+func members(network *pipes, count, regions int) []*member {
+	hosts := make([]definer.Host, count)
+	all := make([]*member, count)
+	for index := range all {
+		region := fmt.Sprintf("region-%d", index%regions)
+		place := definer.NewPlace(region, fmt.Sprintf("%s-%d", region, index/regions%4))
+		name := fmt.Sprintf("entry-%03d", index)
+		station := newStation(network, name, 1)
+		station.host = definer.NewHost(name, "127.0.0.1:"+name, "127.0.0.1:"+name, place, 1)
+		station.SetSelf(station.host)
+		hosts[index] = station.host
+		all[index] = &member{station: station, hosts: &hosts}
+	}
+	for _, member := range all {
+		member.join()
+	}
+	return all
+}
+
+func (member *member) join() {
+	member.HandleDigests(&member.monitor)
+	member.OnDown(member.monitor.Doubt)
+	member.monitor.SetSelf(member.host)
+	member.monitor.SetExchanger(member)
+	member.monitor.SetHostList(member)
+	ctx, cancel := context.WithCancel(context.Background())
+	member.cancel = cancel
+	go member.run(ctx)
+	go member.monitor.Run(ctx)
+}
+
+// Bounds for each host and second, whatever the size of the fleet.
+const (
+	mostBytes     = 500
+	mostExchanges = 3
+)
+
+// began returns how many exchanges all hosts began.
+func began(all []*member) int {
+	count := 0
+	for _, member := range all {
+		count += int(member.exchanges.Load())
+	}
+	return count
+}
+
+// TestCostOfMembership counts what membership sends while nothing happens, and
+// for one host that dies, over real links. The brief's target bounds control
+// at 5 KB a second for each node; TCP, IP and TLS come on top of what is
+// counted here, about 62 bytes a write.
+func TestCostOfMembership(t *testing.T) {
+	for _, size := range []struct{ hosts, regions int }{{20, 3}, {100, 4}, {400, 4}} {
+		t.Run(fmt.Sprintf("%d hosts", size.hosts), func(t *testing.T) {
+			if size.hosts > 100 && os.Getenv("CHIVESPOOL_LARGE") == "" {
+				t.Skip("takes most of a minute; set CHIVESPOOL_LARGE to run it")
+			}
+			bubble(t, func(t *testing.T) {
+				var network pipes
+				all := members(&network, size.hosts, size.regions)
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				const span = time.Minute
+				bytes, writes := network.sent()
+				exchanges := began(all)
+				time.Sleep(span)
+				idleBytes, idleWrites := network.sent()
+				perHost := func(count int) float64 { return float64(count) / span.Seconds() / float64(size.hosts) }
+				t.Logf("idle, a second for each host: %.2f exchanges begun, %.1f writes, %.0f bytes; %.1f links each",
+					perHost(began(all)-exchanges), perHost(idleWrites-writes), perHost(idleBytes-bytes),
+					2*float64(network.open())/float64(size.hosts))
+				if got := perHost(idleBytes - bytes); got > mostBytes {
+					t.Errorf("%.0f bytes a second for each host, want at most %d", got, mostBytes)
+				}
+				if got := perHost(began(all) - exchanges); got > mostExchanges {
+					t.Errorf("%.2f exchanges a second for each host, want at most %d", got, mostExchanges)
+				}
+				all[3].cancel()
+				time.Sleep(span)
+				deadBytes, _ := network.sent()
+				t.Logf("a minute in which a host stops: %.0f bytes a second for each host", perHost(deadBytes-idleBytes))
+				for _, member := range all {
+					member.cancel()
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+func (pipes *pipes) sent() (bytes, writes int) {
+	pipes.mu.Lock()
+	defer pipes.mu.Unlock()
+	return pipes.bytes, pipes.writes
+}
+
+// open counts the connections that are open.
+func (pipes *pipes) open() int {
+	pipes.mu.Lock()
+	defer pipes.mu.Unlock()
+	count := 0
+	for _, end := range pipes.ends {
+		select {
+		case <-end.done:
+		default:
+			count++
+		}
+	}
+	return count / 2
+}
