--- a/internal/messenger/call.go
+++ b/internal/messenger/call.go
@@ -57,10 +57,7 @@
 
 // reportDown tells that the last link with host died.
 func (messenger *Messenger) reportDown(host string) {
-	messenger.mu.Lock()
-	down := messenger.down
-	messenger.mu.Unlock()
-	for _, report := range down {
+	for _, report := range messenger.snapshot().down {
 		report(host)
 	}
 }
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -19,13 +19,6 @@
 	Reach(ctx context.Context, host string) error
 }
 
-// HandleDigests sets who answers the digests of peers.
-func (messenger *Messenger) HandleDigests(handler DigestHandler) {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	messenger.digests = handler
-}
-
 // Exchange tells digest to host and returns what host tells.
 func (messenger *Messenger) Exchange(ctx context.Context, host string, digest monitor.Digest) (monitor.Digest, error) {
 	body := &encoder.Request_Digest{Digest: encodeDigest(digest)}
@@ -49,9 +42,7 @@
 // handleMembership returns the reply to a peer's digest or its wish to have a
 // host tried, or nil where request is neither.
 func (messenger *Messenger) handleMembership(ctx context.Context, from string, request *encoder.Request) *encoder.Reply {
-	messenger.mu.Lock()
-	handler := messenger.digests
-	messenger.mu.Unlock()
+	handler := messenger.snapshot().digests
 	if handler == nil {
 		return nil
 	}
@@ -98,7 +89,7 @@
 func decodeDigest(encoded *encoder.Digest) monitor.Digest {
 	var members []monitor.Member
 	for _, member := range encoded.GetMembers() {
-		if member.GetName() == "" || len(member.GetName()) > maxNameBytes || !known(member.GetState()) {
+		if !sound(member) {
 			continue
 		}
 		place := definer.NewPlace(member.GetRegion(), member.GetDataCentre())
@@ -119,7 +110,21 @@
 	return digest.WithEndpoints(endpoints)
 }
 
-// known reports whether state is one of definer's.
-func known(state encoder.HostState) bool {
-	return state >= encoder.HostState_HOST_STATE_LIVE && state <= encoder.HostState_HOST_STATE_GONE
+// maxRefutation bounds how often a host contradicted, so that the count can't
+// be driven to where it would wrap.
+const maxRefutation = 1 << 30
+
+// sound reports whether member could be true of a host.
+func sound(member *encoder.Member) bool {
+	for _, text := range []string{
+		member.GetName(), member.GetAddress(), member.GetPeerAddress(),
+		member.GetRegion(), member.GetDataCentre(),
+	} {
+		if len(text) > maxNameBytes {
+			return false
+		}
+	}
+	state := member.GetState()
+	known := state >= encoder.HostState_HOST_STATE_LIVE && state <= encoder.HostState_HOST_STATE_GONE
+	return known && member.GetName() != "" && member.GetRefutation() < maxRefutation
 }
--- a/internal/messenger/hello.go
+++ b/internal/messenger/hello.go
@@ -27,33 +27,31 @@
 
 // hello returns what this host says of itself first.
 func (messenger *Messenger) hello() *encoder.Hello {
-	stamp := messenger.stamp()
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
+	settings := messenger.snapshot()
+	self := settings.self
 	return &encoder.Hello{
-		Version: encoder.PeerVersion, Fleet: messenger.fleet, Host: messenger.self.Name(),
-		Incarnation: messenger.self.Incarnation(), Region: messenger.self.Place().Region(),
-		DataCentre: messenger.self.Place().DataCentre(), Stamp: stamp,
+		Version: encoder.PeerVersion, Fleet: settings.fleet, Host: self.Name(),
+		Incarnation: self.Incarnation(), Region: self.Place().Region(),
+		DataCentre: self.Place().DataCentre(), Stamp: messenger.stamp(),
 	}
 }
 
 // check returns why the sender of hello is refused, or nil.
 func (messenger *Messenger) check(conn net.Conn, hello *encoder.Hello) error {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
+	settings := messenger.snapshot()
 	switch {
 	case hello.GetVersion() < encoder.PeerVersionOldest:
 		return &RefusalError{fmt.Sprintf("protocol version %d is too old, %d is the oldest that is spoken",
 			hello.GetVersion(), encoder.PeerVersionOldest)}
 	case hello.GetHost() == "" || len(hello.GetHost()) > maxNameBytes:
 		return &RefusalError{"a host name that is empty or too long"}
-	case hello.GetFleet() != messenger.fleet:
-		return &RefusalError{fmt.Sprintf("fleet %q, this is a host of fleet %q", hello.GetFleet(), messenger.fleet)}
-	case hello.GetHost() == messenger.self.Name():
+	case hello.GetFleet() != settings.fleet:
+		return &RefusalError{fmt.Sprintf("fleet %q, this is a host of fleet %q", hello.GetFleet(), settings.fleet)}
+	case hello.GetHost() == settings.self.Name():
 		return &RefusalError{"the name of this host, which another one uses"}
-	case messenger.credentials == nil && !loopback(conn.RemoteAddr().String()):
+	case settings.credentials == nil && !loopback(conn.RemoteAddr().String()):
 		return &RefusalError{"a plain link that is not on loopback"}
-	case messenger.credentials != nil:
+	case settings.credentials != nil:
 		return verifyName(conn, hello.GetHost())
 	}
 	return nil
@@ -61,10 +59,10 @@
 
 // dial connects to host and exchanges Hello messages.
 func (messenger *Messenger) dial(ctx context.Context, host definer.Host) (net.Conn, *encoder.Hello, error) {
-	if messenger.getCredentials() == nil && !loopback(host.PeerAddress()) {
+	if messenger.snapshot().credentials == nil && !loopback(host.PeerAddress()) {
 		return nil, nil, &CredentialsError{text: "plain links are only for loopback, not for " + host.PeerAddress()}
 	}
-	conn, err := messenger.getNetwork().Dial(ctx, host.PeerAddress())
+	conn, err := messenger.snapshot().network.Dial(ctx, host.PeerAddress())
 	if err != nil {
 		return nil, nil, err
 	}
@@ -82,7 +80,7 @@
 	raw := conn
 	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
-	if credentials := messenger.getCredentials(); credentials != nil {
+	if credentials := messenger.snapshot().credentials; credentials != nil {
 		var err error
 		conn, err = credentials.client(ctx, conn, name)
 		messenger.recordCredentials(credentials)
@@ -133,6 +131,7 @@
 	}
 	messenger.wait.Add(1)
 	link.run(ctx)
+	messenger.prune(link.peer)
 }
 
 // greet is the accepting side of the handshake.
@@ -142,7 +141,7 @@
 	conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	stop := context.AfterFunc(ctx, func() { visitor.conn.Close() })
 	defer stop()
-	if credentials := messenger.getCredentials(); credentials != nil {
+	if credentials := messenger.snapshot().credentials; credentials != nil {
 		var err error
 		conn, err = credentials.server(ctx, conn)
 		messenger.recordCredentials(credentials)
@@ -190,6 +189,9 @@
 	}
 	messenger.mu.Lock()
 	defer messenger.mu.Unlock()
+	if _, ok := messenger.peers[hello.GetHost()]; !ok && len(messenger.peers) >= maxPeers {
+		return nil, &RefusalError{"too many hosts"}
+	}
 	peer := messenger.ensure(hello.GetHost())
 	return peer, peer.admissible(hello.GetIncarnation())
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -22,6 +22,8 @@
 
 // Bounds on connections.
 const (
+	// maxPeers bounds the hosts that have a link or may be dialled.
+	maxPeers = 4096
 	// maxInbound bounds the accepted connections, in handshake or linked.
 	maxInbound = 1024
 	// drainTimeout bounds how long calls in progress may take at the end.
@@ -48,15 +50,8 @@
 // SetPeers.
 type Messenger struct {
 	// mu guards all fields below but wait.
-	mu          sync.Mutex
-	self        definer.Host
-	fleet       string
-	network     Network
-	credentials *Credentials
-	recorder    Recorder
-	handler     Handler
-	digests     DigestHandler
-	down        []func(host string)
+	mu sync.Mutex
+	settings
 	// peers holds all hosts that may be dialled or have a link, by name.
 	peers map[string]*peer
 	// ctx is that of the Run that is on; nil while none is.
@@ -68,55 +63,79 @@
 	wait sync.WaitGroup
 }
 
-// SetSelf tells the messenger which host it runs on.
-func (messenger *Messenger) SetSelf(self definer.Host) {
+// settings is what the Set methods set.
+type settings struct {
+	self    definer.Host
+	fleet   string
+	network Network
+	// credentials is nil where links are plain.
+	credentials *Credentials
+	recorder    Recorder
+	handler     Handler
+	digests     DigestHandler
+	down        []func(host string)
+}
+
+// snapshot returns the settings as they are now.
+func (messenger *Messenger) snapshot() settings {
 	messenger.mu.Lock()
 	defer messenger.mu.Unlock()
-	messenger.self = self
+	settings := messenger.settings
+	if settings.network == nil {
+		settings.network = new(TCP)
+	}
+	return settings
 }
 
-// SetFleet names the installation; hosts of another one are refused.
-func (messenger *Messenger) SetFleet(fleet string) {
+// change changes the settings.
+func (messenger *Messenger) change(apply func(settings *settings)) {
 	messenger.mu.Lock()
 	defer messenger.mu.Unlock()
-	messenger.fleet = fleet
+	apply(&messenger.settings)
+}
+
+// SetSelf tells the messenger which host it runs on.
+func (messenger *Messenger) SetSelf(self definer.Host) {
+	messenger.change(func(settings *settings) { settings.self = self })
+}
+
+// SetFleet names the installation; hosts of another one are refused.
+func (messenger *Messenger) SetFleet(fleet string) {
+	messenger.change(func(settings *settings) { settings.fleet = fleet })
 }
 
 // SetNetwork replaces TCP.
 func (messenger *Messenger) SetNetwork(network Network) {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	messenger.network = network
+	messenger.change(func(settings *settings) { settings.network = network })
 }
 
 // SetCredentials turns on TLS. Without credentials, links are plain and only
 // between loopback addresses.
 func (messenger *Messenger) SetCredentials(credentials *Credentials) {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	messenger.credentials = credentials
+	messenger.change(func(settings *settings) { settings.credentials = credentials })
 }
 
 // SetRecorder sets the time line.
 func (messenger *Messenger) SetRecorder(recorder Recorder) {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	messenger.recorder = recorder
+	messenger.change(func(settings *settings) { settings.recorder = recorder })
 }
 
 // Handle sets who answers the calls of peers.
 func (messenger *Messenger) Handle(handler Handler) {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	messenger.handler = handler
+	messenger.change(func(settings *settings) { settings.handler = handler })
+}
+
+// HandleDigests sets who answers the digests of peers.
+func (messenger *Messenger) HandleDigests(handler DigestHandler) {
+	messenger.change(func(settings *settings) { settings.digests = handler })
 }
 
 // OnDown adds a function that is called with the name of each peer whose last
 // link died. A link that was closed because it was idle does not count.
 func (messenger *Messenger) OnDown(down func(host string)) {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	messenger.down = append(messenger.down, down)
+	messenger.change(func(settings *settings) {
+		settings.down = append(settings.down[:len(settings.down):len(settings.down)], down)
+	})
 }
 
 // SetPeers tells which hosts may be dialled. A link to a host that is no longer
@@ -146,7 +165,8 @@
 	if err := messenger.checkPlain(); err != nil {
 		return err
 	}
-	listener, err := messenger.getNetwork().Listen(ctx, messenger.getSelf().PeerAddress())
+	settings := messenger.snapshot()
+	listener, err := settings.network.Listen(ctx, settings.self.PeerAddress())
 	if err != nil {
 		return fmt.Errorf("listening for peers: %w", err)
 	}
@@ -252,38 +272,21 @@
 	go peer.run(ctx, messenger.ctx)
 }
 
-// checkPlain keeps plain links on loopback.
-func (messenger *Messenger) checkPlain() error {
-	if messenger.getCredentials() == nil && !loopback(messenger.getSelf().PeerAddress()) {
-		return &CredentialsError{text: fmt.Sprintf("plain links are only for loopback, not for %s",
-			messenger.getSelf().PeerAddress())}
-	}
-	return nil
-}
-
-func (messenger *Messenger) getSelf() definer.Host {
+// prune forgets a peer that has no link and may not be dialled.
+func (messenger *Messenger) prune(peer *peer) {
 	messenger.mu.Lock()
 	defer messenger.mu.Unlock()
-	return messenger.self
-}
-
-func (messenger *Messenger) getNetwork() Network {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	if messenger.network == nil {
-		messenger.network = new(TCP)
+	if messenger.peers[peer.name] == peer && peer.useless() {
+		peer.cancel()
+		delete(messenger.peers, peer.name)
 	}
-	return messenger.network
-}
-
-func (messenger *Messenger) getCredentials() *Credentials {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	return messenger.credentials
 }
 
-func (messenger *Messenger) getHandler() Handler {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	return messenger.handler
+// checkPlain keeps plain links on loopback.
+func (messenger *Messenger) checkPlain() error {
+	settings := messenger.snapshot()
+	if settings.credentials == nil && !loopback(settings.self.PeerAddress()) {
+		return &CredentialsError{text: "plain links are only for loopback, not for " + settings.self.PeerAddress()}
+	}
+	return nil
 }
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -100,6 +100,13 @@
 	return len(peer.links) == 0
 }
 
+// useless reports whether the peer has no link and may not be dialled.
+func (peer *peer) useless() bool {
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	return len(peer.links) == 0 && peer.host.PeerAddress() == ""
+}
+
 // link returns an open link, which it waits for until ctx or run is done.
 func (peer *peer) link(ctx, run context.Context) (*link, error) {
 	for {
--- a/internal/messenger/refusal_test.go
+++ b/internal/messenger/refusal_test.go
@@ -266,7 +266,7 @@
 		if got := serial(); got != 2000 {
 			t.Errorf("certificate after a broken change is %d", got)
 		}
-		if right.getCredentials().Failure() == nil {
+		if right.snapshot().credentials.Failure() == nil {
 			t.Error("a broken change is not told")
 		}
 		right.wantEvent(t, "credentials", "old ones stay")
--- a/internal/messenger/stamp.go
+++ b/internal/messenger/stamp.go
@@ -53,7 +53,7 @@
 
 // record puts an event about a peer on the time line.
 func (messenger *Messenger) record(who, text string) {
-	if line := messenger.getRecorder(); line != nil {
+	if line := messenger.snapshot().recorder; line != nil {
 		line.Record(recorder.KindPeer, who, text)
 	}
 }
@@ -70,7 +70,7 @@
 
 // stamp returns the time to send along with a message.
 func (messenger *Messenger) stamp() *encoder.Stamp {
-	line := messenger.getRecorder()
+	line := messenger.snapshot().recorder
 	if line == nil {
 		return nil
 	}
@@ -80,13 +80,7 @@
 
 // observe takes in the time of a message received.
 func (messenger *Messenger) observe(stamp *encoder.Stamp) {
-	if line := messenger.getRecorder(); line != nil && stamp.GetWall() < time.Now().Add(maxSkew).UnixNano() {
+	if line := messenger.snapshot().recorder; line != nil && stamp.GetWall() < time.Now().Add(maxSkew).UnixNano() {
 		line.Observe(recorder.NewStamp(stamp.GetWall(), stamp.GetCounter()))
 	}
 }
-
-func (messenger *Messenger) getRecorder() Recorder {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	return messenger.recorder
-}
--- a/internal/messenger/stream.go
+++ b/internal/messenger/stream.go
@@ -72,7 +72,7 @@
 	if reply := messenger.handleMembership(ctx, from, request); reply != nil {
 		return reply
 	}
-	handler := messenger.getHandler()
+	handler := messenger.snapshot().handler
 	if handler == nil || request.GetBody() == nil {
 		return failed(NewError(Refused, "unknown-request", errors.New("nothing here answers it")))
 	}
--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -39,6 +39,9 @@
 	exchanger Exchanger
 	recorder  Recorder
 	list      HostList
+	// telling is held while links are told of members, so that the last to be
+	// told is the newest.
+	telling sync.Mutex
 	// mu guards the fields below.
 	mu    sync.Mutex
 	table Table
@@ -150,8 +153,8 @@
 // outcome is what a change of the table means for others.
 type outcome struct {
 	events []Event
-	// hosts is nil where users see no change.
-	hosts   []definer.Host
+	// visible is true where users see a change; changed is nil where none waits.
+	visible bool
 	changed chan struct{}
 }
 
@@ -160,7 +163,7 @@
 	outcome := outcome{events: monitor.table.Events()}
 	if version := monitor.table.Version(); version != monitor.seen {
 		monitor.seen = version
-		outcome.hosts = monitor.table.Members()
+		outcome.visible = true
 		outcome.changed = monitor.changed
 		monitor.changed = nil
 	}
@@ -174,8 +177,10 @@
 			monitor.recorder.Record(recorder.KindMembership, event.Object(), event.Text())
 		}
 	}
-	if outcome.hosts != nil && monitor.exchanger != nil {
-		monitor.exchanger.SetPeers(outcome.hosts)
+	if outcome.visible && monitor.exchanger != nil {
+		monitor.telling.Lock()
+		monitor.exchanger.SetPeers(monitor.Members())
+		monitor.telling.Unlock()
 	}
 	if outcome.changed != nil {
 		close(outcome.changed)
