--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -73,6 +73,7 @@
 	}
 	acceptor.ids.prefix = host.Name()
 	acceptor.echo.HTTPErrorHandler = acceptor.handleError
+	acceptor.echo.Pre(acceptor.bound)
 	acceptor.echo.GET("/where", acceptor.where)
 	acceptor.echo.Any("/s/:service", acceptor.serve)
 	acceptor.echo.Any("/s/:service/*", acceptor.serve)
@@ -86,6 +87,15 @@
 	return acceptor
 }
 
+// bound is a middleware that takes the write bound of the request before off
+// the connection.
+func (acceptor *Acceptor) bound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		acceptor.boundWrites(c)
+		return next(c)
+	}
+}
+
 // SetLeaveBound bounds how long requests in flight may go on after a stop.
 func (acceptor *Acceptor) SetLeaveBound(bound time.Duration) { acceptor.leaveBound = bound }
 
--- a/internal/acceptor/problem.go
+++ b/internal/acceptor/problem.go
@@ -83,6 +83,7 @@
 	if wait := refusal.RetryAfter(); wait > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
+	acceptor.boundWrites(c)
 	c.Response().WriteHeader(problem.Status)
 	if err := json.NewEncoder(c.Response()).Encode(problem); err != nil {
 		klog.V(2).InfoS("a refusal did not reach its caller", "cause", err)
--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -31,11 +31,22 @@
 	copyBytes   = 32 << 10
 )
 
-// serve takes one request through the dispatcher and streams its answer.
+// serve takes one request through the dispatcher and bounds how long its
+// caller may take over it.
 func (acceptor *Acceptor) serve(c echo.Context) error {
 	controller := http.NewResponseController(c.Response().Writer)
-	defer rearm(controller)
 	body := &pacedBody{reader: c.Request().Body, controller: controller, pause: acceptor.limits.bodyTimeout}
+	defer body.end()
+	err := acceptor.carry(c, controller, body)
+	if err != nil && !body.ended {
+		// Else net/http would wait for the rest of the body before it answers.
+		c.Response().Header().Set("Connection", "close")
+	}
+	return err
+}
+
+// carry dispatches the request and streams its answer.
+func (acceptor *Acceptor) carry(c echo.Context, controller *http.ResponseController, body *pacedBody) error {
 	request, err := acceptor.decode(c, body)
 	if err != nil {
 		return err
@@ -110,7 +121,7 @@
 	for {
 		count, err := answer.Read(buffer[:])
 		if count > 0 {
-			_ = controller.SetWriteDeadline(time.Now().Add(acceptor.limits.bodyTimeout))
+			acceptor.boundWrites(c)
 			if _, writeErr := c.Response().Write(buffer[:count]); writeErr != nil {
 				return nil // The caller went away; closing the answer cancels the rest.
 			}
@@ -132,18 +143,35 @@
 	reader     io.Reader
 	controller *http.ResponseController
 	pause      time.Duration
+	// ended is true after the whole body: the connection has no bound then,
+	// since net/http reads on to see the caller go away.
+	ended bool
 }
 
 // Read reads what the caller sends next within the pause.
 func (pacedBody *pacedBody) Read(buffer []byte) (int, error) {
 	_ = pacedBody.controller.SetReadDeadline(time.Now().Add(pacedBody.pause))
-	return pacedBody.reader.Read(buffer)
+	count, err := pacedBody.reader.Read(buffer)
+	if err == io.EOF {
+		pacedBody.ended = true
+		_ = pacedBody.controller.SetReadDeadline(time.Time{})
+	}
+	return count, err
 }
 
-// rearm takes the bounds of a body off the connection, for its next request.
-func rearm(controller *http.ResponseController) {
-	_ = controller.SetReadDeadline(time.Time{})
-	_ = controller.SetWriteDeadline(time.Time{})
+// end bounds what net/http reads of a body that nobody read to its end. It
+// sets its own bound for the next request on the connection.
+func (pacedBody *pacedBody) end() {
+	if !pacedBody.ended {
+		_ = pacedBody.controller.SetReadDeadline(time.Now().Add(pacedBody.pause))
+	}
+}
+
+// boundWrites bounds how long a caller may take to read the next part of an
+// answer.
+func (acceptor *Acceptor) boundWrites(c echo.Context) {
+	controller := http.NewResponseController(c.Response().Writer)
+	_ = controller.SetWriteDeadline(time.Now().Add(acceptor.limits.bodyTimeout))
 }
 
 // idMaker makes request ids that are unique over the fleet.
