--- a/internal/claimer/archive.go
+++ b/internal/claimer/archive.go
@@ -115,8 +115,12 @@
 	if err != nil {
 		return err
 	}
-	_, err = committer.store.CompareAndSwap(ctx, committer.segmentName(version), 0, data)
-	if err != nil && kindOf(err) != connector.Conflict {
+	name := committer.segmentName(version)
+	_, err = committer.store.CompareAndSwap(ctx, name, 0, data)
+	if err != nil && kindOf(err) == connector.Conflict {
+		err = committer.checkSegment(ctx, name, records)
+	}
+	if err != nil {
 		return err
 	}
 	archive.indexes = append(archive.indexes, newSegmentIndex(version, records))
@@ -173,10 +177,28 @@
 	return ledger.Records(), nil
 }
 
-// LostError says that the store lost claims that still count.
+// checkSegment returns an error unless the segment that another host, or an
+// earlier try, wrote under name holds records.
+func (committer *committer) checkSegment(ctx context.Context, name string, records []registrar.Record) error {
+	entry, err := committer.store.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	ledger, err := encoder.DecodeLedger(entry.Data())
+	if err != nil {
+		return err
+	}
+	if !ledger.SameRecords(registrar.NewLedger(nil, records)) {
+		return &LostError{name: name}
+	}
+	return nil
+}
+
+// LostError says that the store lost claims that still count: a value is gone,
+// or the versions of a shard's key began anew.
 type LostError struct{ name string }
 
 // Error names the key and the remedy.
 func (lostError *LostError) Error() string {
-	return fmt.Sprintf("claims: the store has no value at %s; restore it, or delete the shard's key and accept that its operations may run again", lostError.name)
+	return fmt.Sprintf("claims: the store lost what was at %s; restore it, or delete all keys of the shard and accept that its operations may run again", lostError.name)
 }
--- a/internal/claimer/batch.go
+++ b/internal/claimer/batch.go
@@ -8,6 +8,8 @@
 	// done takes the result; it has room, so that nobody waits to send. It is
 	// nil where nobody waits for the result.
 	done chan result
+	// tries counts the commits of a job that nobody waits for.
+	tries int
 }
 
 // result is the end of a job.
--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -62,12 +62,16 @@
 		return nil, err
 	}
 	now := time.Now()
+	expired, err := committer.expire(ctx, now)
+	if err != nil {
+		return nil, err
+	}
 	rulings, changed, err := committer.rule(ctx, requests, now)
 	if err != nil {
 		return nil, err
 	}
-	if changed || sealed {
-		return rulings, committer.write(ctx, now)
+	if sealed || expired || changed {
+		return rulings, committer.write(ctx)
 	}
 	if fresh || !provisional(rulings) {
 		return rulings, nil
@@ -126,17 +130,24 @@
 	return rulings, anyChanged, nil
 }
 
-// write puts the ledger in the store, if it is still at the version read.
-func (committer *committer) write(ctx context.Context, now time.Time) error {
-	ledger := committer.ledger
-	ledger.Expire(now)
-	if segment, ok := ledger.ExpiredSegment(now); ok {
-		if err := committer.archive.remove(ctx, committer, segment); err != nil {
-			return err
-		}
-		ledger.DropSegment(segment.Number())
+// expire drops what no longer counts at now: records, and one segment, so that
+// a batch waits for one deletion at most. It reports whether there was any.
+func (committer *committer) expire(ctx context.Context, now time.Time) (bool, error) {
+	expired := committer.ledger.Expire(now)
+	segment, ok := committer.ledger.ExpiredSegment(now)
+	if !ok {
+		return expired, nil
+	}
+	if err := committer.archive.remove(ctx, committer, segment); err != nil {
+		return false, err
 	}
-	data, err := encoder.EncodeLedger(ledger)
+	committer.ledger.DropSegment(segment.Number())
+	return true, nil
+}
+
+// write puts the ledger in the store, if it is still at the version read.
+func (committer *committer) write(ctx context.Context) error {
+	data, err := encoder.EncodeLedger(committer.ledger)
 	if err != nil {
 		return err
 	}
--- a/internal/claimer/forward.go
+++ b/internal/claimer/forward.go
@@ -19,8 +19,8 @@
 	owner, remote := claimer.owner(shard.name)
 	if remote {
 		ruling, err := claimer.forward(ctx, owner, request)
-		if err == nil {
-			return ruling, nil
+		if err == nil || ctx.Err() != nil {
+			return ruling, err
 		}
 		klog.V(1).InfoS("claim not forwarded; writing it here", "owner", owner, "shard", shard.name, "err", err)
 	}
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -17,6 +17,9 @@
 	keptLength = 8192
 	// retryPause is how long kept settlements wait for the next try.
 	retryPause = time.Second
+	// releaseTries is how often a release is written that nobody waits for: its
+	// claim may still stand in a late batch of another host.
+	releaseTries = 4
 	// flushTimeout bounds the last write when the host stops.
 	flushTimeout = time.Second
 )
@@ -146,6 +149,7 @@
 		case job.done == nil && err != nil:
 			shard.postpone(job)
 		case job.done == nil:
+			shard.releaseAgain(job)
 		case err != nil:
 			job.done <- result{err: err}
 		default:
@@ -154,6 +158,14 @@
 	}
 }
 
+// releaseAgain keeps a release that was written, for one more time.
+func (shard *shard) releaseAgain(job job) {
+	job.tries++
+	if job.request.Act() == registrar.ActRelease && job.tries < releaseTries {
+		shard.postpone(job)
+	}
+}
+
 // flush commits batch when the host stops.
 func (shard *shard) flush(ctx context.Context, batch *batch) error {
 	if len(batch.jobs) == 0 {
--- a/internal/encoder/claim.go
+++ b/internal/encoder/claim.go
@@ -100,13 +100,13 @@
 // EncodeClaimReply returns the reply to a forwarded request.
 func EncodeClaimReply(ruling registrar.Ruling) ([]byte, error) {
 	return proto.Marshal(&ClaimReply{
-		Verdict: int32(ruling.Verdict()),
+		Verdict: verdictMessages[ruling.Verdict()],
 		Answer:  answerMessage(ruling.Answer()),
 	})
 }
 
 // EncodeClaimFailure returns the reply of a host that got no ruling.
-func EncodeClaimFailure() ([]byte, error) { return proto.Marshal(&ClaimReply{Failed: true}) }
+func EncodeClaimFailure() ([]byte, error) { return proto.Marshal(&ClaimReply{}) }
 
 // DecodeClaimReply reads what [EncodeClaimReply] wrote. A failure of the other
 // host, as [EncodeClaimFailure] writes it, is an error.
@@ -115,11 +115,24 @@
 	if err := proto.Unmarshal(data, &message); err != nil {
 		return registrar.Ruling{}, &ClaimError{what: "reply", cause: err}
 	}
-	verdict := registrar.Verdict(message.GetVerdict())
-	if message.GetFailed() || verdict < registrar.Granted || verdict > registrar.Stale {
-		return registrar.Ruling{}, &ClaimError{what: "reply"}
+	for verdict, encoded := range verdictMessages {
+		if message.GetVerdict() == encoded {
+			return registrar.NewRuling(verdict, decodeAnswer(message.GetAnswer())), nil
+		}
 	}
-	return registrar.NewRuling(verdict, decodeAnswer(message.GetAnswer())), nil
+	return registrar.Ruling{}, &ClaimError{what: "reply"}
+}
+
+// verdictMessages has no verdict for the zero value, so that no lost or cut
+// message is read as a grant.
+var verdictMessages = map[registrar.Verdict]ClaimVerdict{
+	registrar.Granted:    ClaimVerdict_CLAIM_VERDICT_GRANTED,
+	registrar.Unresolved: ClaimVerdict_CLAIM_VERDICT_UNRESOLVED,
+	registrar.Recorded:   ClaimVerdict_CLAIM_VERDICT_RECORDED,
+	registrar.Mismatch:   ClaimVerdict_CLAIM_VERDICT_MISMATCH,
+	registrar.Full:       ClaimVerdict_CLAIM_VERDICT_FULL,
+	registrar.Noted:      ClaimVerdict_CLAIM_VERDICT_NOTED,
+	registrar.Stale:      ClaimVerdict_CLAIM_VERDICT_STALE,
 }
 
 func recordMessage(record registrar.Record) *ClaimRecord {
--- a/internal/registrar/ledger.go
+++ b/internal/registrar/ledger.go
@@ -102,14 +102,31 @@
 	ledger.size = 0
 }
 
-// Expire drops the records that no longer count at now. Segments stay until
-// [Ledger.DropSegment].
-func (ledger *Ledger) Expire(now time.Time) {
+// Expire drops the records that no longer count at now and reports whether
+// there were any. Segments stay until [Ledger.DropSegment].
+func (ledger *Ledger) Expire(now time.Time) bool {
+	before := len(ledger.records)
 	for place := len(ledger.records) - 1; place >= 0; place-- {
 		if record := ledger.records[place]; !now.Before(record.expires) {
 			ledger.remove(record.key)
 		}
 	}
+	return len(ledger.records) < before
+}
+
+// SameRecords reports whether both ledgers hold the same claims in the same
+// states.
+func (ledger *Ledger) SameRecords(other *Ledger) bool {
+	if len(ledger.records) != len(other.records) {
+		return false
+	}
+	for _, record := range ledger.records {
+		match, ok := other.Find(record.key)
+		if !ok || match.id != record.id || match.state != record.state {
+			return false
+		}
+	}
+	return true
 }
 
 // ExpiredSegment returns the first segment that no longer counts at now. Its
