--- a/internal/claimer/archive.go
+++ b/internal/claimer/archive.go
@@ -11,8 +11,13 @@
 	"github.com/chivespool/chivespool/internal/registrar"
 )
 
+// recentSegments is how many of a shard's newest segments stay in memory, since
+// most outcomes come soon after their claims.
+const recentSegments = 4
+
 // archive knows which keys the sealed segments of a shard hold. It keeps 8
-// bytes for each key in memory and reads a segment again where those match.
+// bytes for each key in memory and reads an older segment again where those
+// match.
 type archive struct {
 	// indexes are in the order of the ledger's segments.
 	indexes []segmentIndex
@@ -23,10 +28,14 @@
 	number uint64
 	// prefixes are the sorted prefixes of the segment's keys.
 	prefixes []uint64
+	// records are those of the segment, or nil once it is not recent.
+	records *registrar.Ledger
 }
 
 func newSegmentIndex(number uint64, records []registrar.Record) segmentIndex {
-	index := segmentIndex{number: number, prefixes: make([]uint64, len(records))}
+	index := segmentIndex{
+		number: number, prefixes: make([]uint64, len(records)), records: registrar.NewLedger(nil, records),
+	}
 	for place, record := range records {
 		index.prefixes[place] = record.Key().Prefix()
 	}
@@ -58,7 +67,7 @@
 	for _, index := range archive.indexes {
 		known[index.number] = index
 	}
-	archive.indexes = archive.indexes[:0]
+	archive.indexes = nil
 	for _, segment := range segments {
 		index, ok := known[segment.Number()]
 		if !ok {
@@ -68,11 +77,19 @@
 			}
 			index = newSegmentIndex(segment.Number(), records)
 		}
-		archive.indexes = append(archive.indexes, index)
+		archive.add(index)
 	}
 	return nil
 }
 
+// add appends the newest segment.
+func (archive *archive) add(index segmentIndex) {
+	archive.indexes = append(archive.indexes, index)
+	if old := len(archive.indexes) - 1 - recentSegments; old >= 0 {
+		archive.indexes[old].records = nil
+	}
+}
+
 // knows reports whether the archive holds these segments. Segments are added
 // at the end with rising numbers, so the last one and the count tell.
 func (archive *archive) knows(segments []registrar.Segment) bool {
@@ -96,7 +113,7 @@
 			if !index.holds(key) {
 				continue
 			}
-			record, ok, err := committer.readRecord(ctx, index.number, key)
+			record, ok, err := committer.readRecord(ctx, index, key)
 			if err != nil {
 				return nil, err
 			}
@@ -123,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	archive.indexes = append(archive.indexes, newSegmentIndex(version, records))
+	archive.add(newSegmentIndex(version, records))
 	return nil
 }
 
@@ -142,20 +159,21 @@
 }
 
 // readRecord returns the record of key in a segment, if it is there.
-func (committer *committer) readRecord(ctx context.Context, number uint64, key registrar.Key) (registrar.Record, bool, error) {
+func (committer *committer) readRecord(ctx context.Context, index segmentIndex, key registrar.Key) (registrar.Record, bool, error) {
+	if index.records != nil {
+		record, ok := index.records.Find(key)
+		return record, ok, nil
+	}
 	for _, segment := range committer.ledger.Segments() {
-		if segment.Number() != number {
+		if segment.Number() != index.number {
 			continue
 		}
 		records, err := committer.readSegment(ctx, segment)
 		if err != nil {
 			return registrar.Record{}, false, err
 		}
-		for _, record := range records {
-			if record.Key() == key {
-				return record, true, nil
-			}
-		}
+		record, ok := registrar.NewLedger(nil, records).Find(key)
+		return record, ok, nil
 	}
 	return registrar.Record{}, false, nil
 }
