--- a/internal/claimer/limits.go
+++ b/internal/claimer/limits.go
@@ -27,13 +27,13 @@
 // DefaultLimits returns the limits that hold where nothing else is set.
 func DefaultLimits() Limits {
 	return Limits{
-		shards:     8,
+		shards:     4,
 		retention:  24 * time.Hour,
 		most:       10_000_000,
 		batch:      512,
 		batchBytes: 384 << 10,
 		sealBytes:  128 << 10,
-		gap:        25 * time.Millisecond,
+		gap:        12500 * time.Microsecond,
 		settleWait: 100 * time.Millisecond,
 		timeout:    2 * time.Second,
 	}
