parser, administrator, commander: the operators' language from the prompt to the store

chivesctl signs each statement with its operator's key; an entry host verifies it against the committee in force, and the arbiter again against the newest state.

--- /dev/null
+++ b/internal/administrator/execute.go
@@ -0,0 +1,132 @@
+package administrator
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+
+	"github.com/chivespool/chivespool/internal/arbiter"
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/parser"
+	"github.com/chivespool/chivespool/internal/presenter"
+	"github.com/chivespool/chivespool/internal/signer"
+)
+
+// execute answers one statement of a request whose signature was verified with
+// key.
+func (administrator *Administrator) execute(ctx context.Context, request signer.Request, key ed25519.PublicKey) (*presenter.Answer, error) {
+	statement, err := parser.ParseOne(request.Command)
+	if err != nil {
+		return nil, err
+	}
+	configuration := administrator.configurations.Current()
+	switch body := statement.Body().(type) {
+	case parser.Help:
+		return help(body)
+	case parser.Show:
+		return administrator.show(ctx, configuration, body)
+	case parser.AllNames:
+		return administrator.names(ctx, configuration), nil
+	case parser.Status:
+		return administrator.status(configuration), nil
+	case parser.Where:
+		return administrator.where(configuration, body)
+	case parser.Why:
+		return administrator.why(configuration, body)
+	case parser.TimeLine:
+		return administrator.events(body), nil
+	case parser.Outcome:
+		return administrator.outcome(ctx, configuration, body)
+	}
+	action, err := actionOf(statement.Body(), configuration)
+	if err != nil {
+		return nil, err
+	}
+	command := arbiter.NewCommand(request.ID, request.Operator, key, request.Time, action)
+	outcome, err := administrator.committee.Submit(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	return outcomeAnswer(outcome), nil
+}
+
+// actionOf turns a command of the language into one of the committee's. Values
+// that an operator left out come from configuration, which is the base.
+func actionOf(body parser.Body, configuration *definer.Configuration) (arbiter.Action, error) {
+	switch body := body.(type) {
+	case parser.Vote:
+		return arbiter.NewCastVote(body.Proposal(), body.InFavour()), nil
+	case parser.Withdraw:
+		return arbiter.NewWithdraw(body.Proposal()), nil
+	case parser.Rule:
+		return arbiter.NewRule(body.Proposal(), body.InFavour()), nil
+	case parser.Propose:
+		return propose(body, configuration)
+	}
+	return nil, fmt.Errorf("a %T can't be executed; report this fault of chivespool", body)
+}
+
+func propose(body parser.Propose, configuration *definer.Configuration) (arbiter.Action, error) {
+	var changes []definer.Change
+	var faults []error
+	for _, edit := range body.Edits() {
+		change, err := edit.Change(configuration)
+		faults = append(faults, err)
+		changes = append(changes, change)
+	}
+	if err := errors.Join(faults...); err != nil {
+		return nil, err
+	}
+	base := configuration.Revision()
+	if against, ok := body.Against(); ok {
+		base = against
+	}
+	return arbiter.NewPropose(base, changes), nil
+}
+
+func outcomeAnswer(outcome arbiter.Outcome) *presenter.Answer {
+	answer := presenter.New("id", "result", "proposal", "revision")
+	answer.Add(outcome.ID(), outcome.Result().String(), outcome.Proposal(), fmt.Sprint(outcome.Revision()))
+	answer.Note = outcome.String()
+	return answer
+}
+
+// outcome says what became of a command. While the store is out, an accepted
+// proposal shows in the configuration; of all else nothing can be said.
+func (administrator *Administrator) outcome(ctx context.Context, configuration *definer.Configuration, body parser.Outcome) (*presenter.Answer, error) {
+	if mark, ok := markOf(configuration, body.ID()); ok {
+		origin := mark.Origin()
+		return outcomeAnswer(arbiter.NewOutcome(body.ID(), arbiter.Accepted, body.ID(), mark.Revision(), origin.At())), nil
+	}
+	state, err := administrator.committee.State(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("not known yet, ask again: %w", err)
+	}
+	if outcome, ok := state.Outcome(body.ID()); ok {
+		return outcomeAnswer(outcome), nil
+	}
+	note := fmt.Sprintf("%s had no effect, or it is more than %v old and its objects changed since", body.ID(), arbiter.MemoryOfIDs)
+	return presenter.NewNote(note), nil
+}
+
+// markOf finds the revision that proposal became.
+func markOf(configuration *definer.Configuration, proposal string) (definer.Mark, bool) {
+	for _, mark := range configuration.Marks {
+		if mark.Origin().Proposal() == proposal {
+			return mark, true
+		}
+	}
+	return definer.Mark{}, false
+}
+
+func help(body parser.Help) (*presenter.Answer, error) {
+	answer := presenter.New("statement", "what-it-does")
+	for _, form := range parser.Forms(body.Topic()) {
+		answer.Add(form.String(), form.Help())
+	}
+	if len(answer.Rows) == 0 {
+		return nil, fmt.Errorf("there is no help on %q; see: help", body.Topic())
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/parser/statement.go
@@ -0,0 +1,237 @@
+package parser
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Statement is one thing that an operator asks or commands.
+type Statement struct {
+	text string
+	body Body
+}
+
+// Text returns the statement as it was written, without comments around it.
+func (statement Statement) Text() string { return statement.text }
+
+// Body returns what the statement says.
+func (statement Statement) Body() Body { return statement.body }
+
+// Body is one of Status, AllNames, Help, Show, Where, Why, TimeLine, Outcome,
+// Propose, Vote, Withdraw and Rule.
+type Body interface{ body() }
+
+// Status asks for the state of the entry host.
+type Status struct{}
+
+// AllNames asks for all names, for completion.
+type AllNames struct{}
+
+// Help asks for the forms of statements.
+type Help struct{ topic string }
+
+// Topic returns the verb that help is wanted on, or empty for all.
+func (help Help) Topic() string { return help.topic }
+
+// Show asks for what is in force or open.
+type Show struct{ what, name string }
+
+// What returns what to show, such as services or endpoint.
+func (show Show) What() string { return show.what }
+
+// Name returns the name of the one object to show, or empty.
+func (show Show) Name() string { return show.name }
+
+// Where asks where a service's work goes from a region.
+type Where struct{ service, region string }
+
+// Service returns the name of the service.
+func (where Where) Service() string { return where.service }
+
+// Region returns the name of the callers' region.
+func (where Where) Region() string { return where.region }
+
+// Why asks why an endpoint gets work or none.
+type Why struct{ endpoint string }
+
+// Endpoint returns the name of the endpoint.
+func (why Why) Endpoint() string { return why.endpoint }
+
+// TimeLine asks for the events of the entry hosts.
+type TimeLine struct{ since time.Duration }
+
+// Since returns how far back to look, or 0 for all.
+func (timeLine TimeLine) Since() time.Duration { return timeLine.since }
+
+// Outcome asks what became of a command or a proposal.
+type Outcome struct{ id string }
+
+// ID returns the id of the command or proposal.
+func (outcome Outcome) ID() string { return outcome.id }
+
+// Propose asks the committee for changes.
+type Propose struct {
+	edits []Edit
+	// against is the revision that the operator saw, or nil for the one in
+	// force on the host that takes the statement.
+	against *uint64
+}
+
+// Edits returns the changes as written; callers must not change it.
+func (propose Propose) Edits() []Edit { return propose.edits }
+
+// Against returns the revision that the operator names, if any.
+func (propose Propose) Against() (uint64, bool) {
+	if propose.against == nil {
+		return 0, false
+	}
+	return *propose.against, true
+}
+
+// Vote is a vote on an open proposal.
+type Vote struct {
+	proposal string
+	inFavour bool
+}
+
+// Proposal returns the id of the proposal.
+func (vote Vote) Proposal() string { return vote.proposal }
+
+// InFavour reports whether the vote is for the proposal.
+func (vote Vote) InFavour() bool { return vote.inFavour }
+
+// Withdraw closes a proposal of one's own.
+type Withdraw struct{ proposal string }
+
+// Proposal returns the id of the proposal.
+func (withdraw Withdraw) Proposal() string { return withdraw.proposal }
+
+// Rule is the chair's decision on a tie or a collision.
+type Rule struct {
+	proposal string
+	inFavour bool
+}
+
+// Proposal returns the id of the proposal.
+func (rule Rule) Proposal() string { return rule.proposal }
+
+// InFavour reports whether the ruling is for the proposal.
+func (rule Rule) InFavour() bool { return rule.inFavour }
+
+func (Status) body()   {}
+func (AllNames) body() {}
+func (Help) body()     {}
+func (Show) body()     {}
+func (Where) body()    {}
+func (Why) body()      {}
+func (TimeLine) body() {}
+func (Outcome) body()  {}
+func (Propose) body()  {}
+func (Vote) body()     {}
+func (Withdraw) body() {}
+func (Rule) body()     {}
+
+// statement turns the node into a Statement. Values are checked here, where
+// the place of each is known.
+func (statementNode *statementNode) statement(text string) (Statement, error) {
+	source := strings.TrimSpace(text[statementNode.Pos.Offset:min(statementNode.EndPos.Offset, len(text))])
+	body, err := statementNode.body(text)
+	return Statement{text: source, body: body}, err
+}
+
+func (statementNode *statementNode) body(text string) (Body, error) {
+	switch {
+	case statementNode.Status:
+		return Status{}, nil
+	case statementNode.Names:
+		return AllNames{}, nil
+	case statementNode.Help != nil:
+		return Help{topic: strings.Join(statementNode.Help.Words, " ")}, nil
+	case statementNode.Show != nil:
+		return statementNode.Show.show(text)
+	case statementNode.Where != nil:
+		return Where{service: statementNode.Where.Service.Text, region: statementNode.Where.Region.Text}, nil
+	case statementNode.Why != nil:
+		return Why{endpoint: statementNode.Why.Text}, nil
+	case statementNode.TimeLine != nil:
+		return statementNode.TimeLine.timeLine(text)
+	case statementNode.Outcome != nil:
+		return Outcome{id: statementNode.Outcome.Text}, nil
+	case statementNode.Vote != nil:
+		return Vote{proposal: statementNode.Vote.Proposal.Text, inFavour: statementNode.Vote.Vote == "yes"}, nil
+	case statementNode.Withdraw != nil:
+		return Withdraw{proposal: statementNode.Withdraw.Text}, nil
+	case statementNode.Rule != nil:
+		return Rule{proposal: statementNode.Rule.Proposal.Text, inFavour: statementNode.Rule.Ruling == "for"}, nil
+	}
+	return statementNode.Propose.propose(text)
+}
+
+func (showNode *showNode) show(text string) (Body, error) {
+	name := ""
+	if showNode.Name != nil {
+		name = showNode.Name.Text
+	}
+	for _, form := range Forms("show") {
+		if form.head[1] != showNode.What.Text {
+			continue
+		}
+		if wantsName := len(form.head) == 3; wantsName == (name != "") {
+			return Show{what: showNode.What.Text, name: name}, nil
+		}
+		if name != "" {
+			return nil, showNode.Name.fault(text, "a name does not fit here", "end the statement here")
+		}
+		return nil, showNode.What.fault(text, "a name must follow", fmt.Sprintf("write: show %s NAME, or: show %ss", showNode.What.Text, showNode.What.Text))
+	}
+	return nil, showNode.What.fault(text, "this can't be shown", remedyFor("show ", showNode.What.Text))
+}
+
+func (timeLineNode *timeLineNode) timeLine(text string) (Body, error) {
+	if timeLineNode.Since == nil {
+		return TimeLine{}, nil
+	}
+	since, err := timeLineNode.Since.duration(text)
+	return TimeLine{since: since}, err
+}
+
+func (proposeNode *proposeNode) propose(text string) (Body, error) {
+	var propose Propose
+	for _, editNode := range proposeNode.Edits {
+		edit, err := editNode.edit(text)
+		if err != nil {
+			return nil, err
+		}
+		propose.edits = append(propose.edits, edit)
+	}
+	if proposeNode.Against != nil {
+		against, err := strconv.ParseUint(proposeNode.Against.Text, 10, 64)
+		if err != nil {
+			return nil, proposeNode.Against.fault(text, "this is not a revision", "write a whole number, as in: against 12")
+		}
+		propose.against = &against
+	}
+	return propose, nil
+}
+
+func (word *word) duration(text string) (time.Duration, error) {
+	duration, err := time.ParseDuration(word.Text)
+	if err != nil || duration < 0 {
+		return 0, word.fault(text, "this is not a duration", "write it as 30s, 5m or 1h30m")
+	}
+	return duration, nil
+}
+
+func (word *word) number(text string) (int, error) {
+	number, err := strconv.Atoi(word.Text)
+	if err != nil {
+		return 0, word.fault(text, "this is not a number", "write a whole number")
+	}
+	return number, nil
+}
+
+func (word *word) fault(text, detail, remedy string) error {
+	return newSyntaxError(text, word.Pos, word.Text, detail, remedy)
+}
--- /dev/null
+++ b/internal/signer/signer.go
@@ -0,0 +1,140 @@
+// Package signer binds an operator's request to the operator's key. The client
+// signs with it and package administrator verifies with it.
+package signer
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base32"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// Scheme is the HTTP authorization scheme of a signed GET.
+const Scheme = "Chivespool"
+
+// Request is what an operator sends: a statement under a name, signed.
+type Request struct {
+	Operator string `json:"operator"`
+	Command  string `json:"command"`
+	// ID is unique for each request; a repeat keeps it, and its time.
+	ID   string    `json:"id"`
+	Time time.Time `json:"time"`
+	// Signature is of the canonical text.
+	Signature []byte `json:"signature"`
+}
+
+// Sign returns the request with its signature by private.
+func (request Request) Sign(private ed25519.PrivateKey) Request {
+	request.Signature = ed25519.Sign(private, request.canonical())
+	return request
+}
+
+// Verify reports whether the holder of public's private half signed request.
+func (request Request) Verify(public ed25519.PublicKey) bool {
+	if len(public) != ed25519.PublicKeySize {
+		return false
+	}
+	return ed25519.Verify(public, request.canonical(), request.Signature)
+}
+
+// canonical returns the text that is signed. The command comes last, since
+// only it may hold newlines.
+func (request Request) canonical() []byte {
+	fields := []string{
+		"chivespool request 1",
+		fmt.Sprintf("%q", request.Operator),
+		fmt.Sprintf("%q", request.ID),
+		request.Time.UTC().Format(time.RFC3339Nano),
+		request.Command,
+	}
+	return []byte(strings.Join(fields, "\n"))
+}
+
+// Authorization returns the header value of a signed GET, whose command is the
+// method and the request's URI.
+func (request Request) Authorization() (string, error) {
+	data, err := json.Marshal(request)
+	if err != nil {
+		return "", fmt.Errorf("encode the request: %w", err)
+	}
+	return Scheme + " " + base64.RawURLEncoding.EncodeToString(data), nil
+}
+
+// ParseAuthorization reads what Authorization wrote.
+func ParseAuthorization(header string) (Request, error) {
+	var request Request
+	encoded, ok := strings.CutPrefix(header, Scheme+" ")
+	if !ok {
+		return request, fmt.Errorf("the Authorization header is not of the scheme %s; sign the request", Scheme)
+	}
+	data, err := base64.RawURLEncoding.DecodeString(encoded)
+	if err != nil {
+		return request, fmt.Errorf("decode the Authorization header; sign the request anew: %w", err)
+	}
+	if err := json.Unmarshal(data, &request); err != nil {
+		return request, fmt.Errorf("decode the Authorization header; sign the request anew: %w", err)
+	}
+	return request, nil
+}
+
+// NewID returns a fresh id: 80 random bits in lower-case letters and digits.
+func NewID() string {
+	var random [10]byte
+	// crypto/rand.Read never fails; it ends the process where it can't read.
+	_, _ = rand.Read(random[:])
+	return strings.ToLower(base32.StdEncoding.EncodeToString(random[:]))
+}
+
+// keyFileMode lets only its owner read a private key.
+const keyFileMode = 0o600
+
+// WriteKey makes a key, writes its private half to the new file path, and
+// returns the public half in base64.
+func WriteKey(path string) (string, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return "", fmt.Errorf("make a key: %w", err)
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, keyFileMode)
+	if err != nil {
+		return "", fmt.Errorf("write the key; name a file that doesn't exist yet: %w", err)
+	}
+	if _, err := fmt.Fprintln(file, base64.StdEncoding.EncodeToString(private.Seed())); err != nil {
+		_ = file.Close()
+		return "", fmt.Errorf("write the key: %w", err)
+	}
+	if err := file.Close(); err != nil {
+		return "", fmt.Errorf("write the key: %w", err)
+	}
+	return Text(public), nil
+}
+
+// ReadKey reads the private key that WriteKey wrote.
+func ReadKey(path string) (ed25519.PrivateKey, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read the key; make one with chivesctl keygen: %w", err)
+	}
+	seed, err := base64.StdEncoding.DecodeString(strings.TrimSpace(string(data)))
+	if err != nil || len(seed) != ed25519.SeedSize {
+		return nil, fmt.Errorf("%s holds no private key; make one with chivesctl keygen", path)
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
+
+// Text returns a public key as it stands in settings and statements.
+func Text(public ed25519.PublicKey) string { return base64.StdEncoding.EncodeToString(public) }
+
+// ParseText reads what Text wrote.
+func ParseText(text string) (ed25519.PublicKey, error) {
+	public, err := base64.StdEncoding.DecodeString(text)
+	if err != nil || len(public) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("%q is not a public key; make one with chivesctl keygen", text)
+	}
+	return public, nil
+}
