--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -21,6 +21,8 @@
 		Commands: []*cli.Command{
 			storeCommand(),
 			hostListCommand(),
+			backendCommand(),
+			loadCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
