administrator: golden sessions of races, ties, outages and lost replies

Seen failing first: a repeat of an accepted 'create pool s' was refused as 'exists already', since the statement was worked out against the configuration before the id was looked up. A command that doesn't fit is now looked up by its id before it is refused. A ruling that leaves a proposal open says so instead of 'voted'. The race detector found the sessions' own map of hosts unguarded; that is mended in the tests.

--- a/internal/administrator/authenticate.go
+++ b/internal/administrator/authenticate.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/chivespool/chivespool/internal/arbiter"
+	"github.com/chivespool/chivespool/internal/connector"
 	"github.com/chivespool/chivespool/internal/parser"
 	"github.com/chivespool/chivespool/internal/signer"
 	"github.com/chivespool/chivespool/internal/submitter"
@@ -75,6 +76,7 @@
 	var syntaxError *parser.SyntaxError
 	var commandError *arbiter.CommandError
 	var submitError *submitter.SubmitError
+	var storeError *connector.Error
 	switch {
 	case errors.As(err, new(AuthorizationError)):
 		failure.Kind, status = "not-authorized", http.StatusUnauthorized
@@ -83,7 +85,10 @@
 		failure.Picture = syntaxError.Picture()
 	case errors.As(err, &commandError):
 		failure.Kind = commandError.Kind().String()
-	case errors.As(err, &submitError):
+	case errors.As(err, &storeError):
+		failure.Kind, status = "store-"+storeError.Kind().String(), http.StatusServiceUnavailable
+	}
+	if errors.As(err, &submitError) {
 		failure.Kind, status = submitError.Kind().String(), http.StatusServiceUnavailable
 	}
 	return c.JSON(status, failure)
--- a/internal/administrator/execute.go
+++ b/internal/administrator/execute.go
@@ -41,7 +41,7 @@
 	}
 	action, err := actionOf(statement.Body(), configuration)
 	if err != nil {
-		return nil, err
+		return administrator.repeated(ctx, configuration, request.ID, err)
 	}
 	command := arbiter.NewCommand(request.ID, request.Operator, key, request.Time, action)
 	outcome, err := administrator.committee.Submit(ctx, command)
@@ -92,12 +92,31 @@
 	return answer
 }
 
+// repeated answers a command that doesn't fit what is in force: if it is a
+// repeat, because it was taken in before. Otherwise it fails with fault.
+func (administrator *Administrator) repeated(ctx context.Context, configuration *definer.Configuration, id string, fault error) (*presenter.Answer, error) {
+	if mark, ok := markOf(configuration, id); ok {
+		return outcomeAnswer(acceptedBy(mark)), nil
+	}
+	if state, err := administrator.committee.State(ctx); err == nil {
+		if outcome, ok := state.Outcome(id); ok {
+			return outcomeAnswer(outcome), nil
+		}
+	}
+	return nil, fault
+}
+
+// acceptedBy returns the outcome of the proposal that made mark.
+func acceptedBy(mark definer.Mark) arbiter.Outcome {
+	origin := mark.Origin()
+	return arbiter.NewOutcome(origin.Proposal(), arbiter.Accepted, origin.Proposal(), mark.Revision(), origin.At())
+}
+
 // outcome says what became of a command. While the store is out, an accepted
 // proposal shows in the configuration; of all else nothing can be said.
 func (administrator *Administrator) outcome(ctx context.Context, configuration *definer.Configuration, body parser.Outcome) (*presenter.Answer, error) {
 	if mark, ok := markOf(configuration, body.ID()); ok {
-		origin := mark.Origin()
-		return outcomeAnswer(arbiter.NewOutcome(body.ID(), arbiter.Accepted, body.ID(), mark.Revision(), origin.At())), nil
+		return outcomeAnswer(acceptedBy(mark)), nil
 	}
 	state, err := administrator.committee.State(ctx)
 	if err != nil {
--- a/internal/administrator/session_test.go
+++ b/internal/administrator/session_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,12 +32,15 @@
 	case "reset":
 		world.close()
 		session.world = newWorld(t)
+	case "fleet":
+		world.fleet(data.CmdArgs[0].Vals)
+		return world.revisions()
 	case "host":
 		world.start(data.CmdArgs[0].Key, data.HasArg("watcher"))
 	case "stop":
 		world.stop(data.CmdArgs[0].Key)
 	case "cut", "join":
-		world.hosts[data.CmdArgs[0].Key].cut = data.Cmd == "cut"
+		world.setCut(data.CmdArgs[0].Key, data.Cmd == "cut")
 	case "watcher":
 		for name, host := range world.hosts {
 			host.follower.SetWatcher(name == data.CmdArgs[0].Key)
@@ -53,6 +59,10 @@
 		answer := world.do(statementOf(t, data))
 		synctest.Wait()
 		return answer
+	case "pools":
+		return session.pools(t, data)
+	case "keys":
+		return strings.Join(slices.Sorted(maps.Keys(world.store.entries)), "\n") + "\n"
 	case "calls":
 		store := world.store
 		return fmt.Sprintf("%d reads, %d writes, %d watches\n", store.reads, store.writes, store.watches)
@@ -62,6 +72,23 @@
 	return ""
 }
 
+// pools proposes count pools, one by one, and shows the last answer.
+func (session *session) pools(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	var count int
+	data.ScanArgs(t, "count", &count)
+	answer := ""
+	for index := range count {
+		text := fmt.Sprintf("create pool p%d", index)
+		answer = session.world.do(statement{host: "a", operator: "anna", text: text})
+		time.Sleep(pauseBetween)
+	}
+	return answer
+}
+
+// pauseBetween keeps many commands below the bound of remembered ids.
+const pauseBetween = 2 * time.Second
+
 // statementOf reads "do HOST OPERATOR [id=ID] [signed-by=NAME] [age=DURATION]".
 func statementOf(t *testing.T, data *datadriven.TestData) statement {
 	t.Helper()
@@ -89,9 +116,11 @@
 		case "up":
 			store.setOutage(false)
 		case "lose-reply":
-			store.loseNext = 1
+			store.set(func() { store.loseNext = 1 })
 		case "late-write":
-			store.lateNext = 1
+			store.set(func() { store.lateNext = 1 })
+		case "outage-after-write":
+			store.set(func() { store.outageAfterWrite = true })
 		case "save":
 			store.save()
 		case "back":
--- a/internal/administrator/world_test.go
+++ b/internal/administrator/world_test.go
@@ -41,11 +41,13 @@
 	// lateNext counts writes that take effect only after lateness, when their
 	// caller has long been told that the outcome is unknown.
 	lateNext int
-	reads    int
-	writes   int
-	watches  int
-	largest  int
-	saved    map[string]connector.Entry
+	// outageAfterWrite lets the next write through and then refuses all.
+	outageAfterWrite bool
+	reads            int
+	writes           int
+	watches          int
+	largest          int
+	saved            map[string]connector.Entry
 }
 
 const lateness = 2 * time.Second
@@ -71,7 +73,10 @@
 	switch {
 	case fakeStore.outage:
 		return connector.Entry{}, connector.NewError(connector.Unavailable, "write", nil)
-	case fakeStore.lateNext > 0:
+	case fakeStore.outageAfterWrite:
+		fakeStore.outageAfterWrite, fakeStore.outage = false, true
+	}
+	if fakeStore.lateNext > 0 {
 		fakeStore.lateNext--
 		time.AfterFunc(lateness, func() {
 			fakeStore.mu.Lock()
@@ -142,12 +147,28 @@
 	fakeStore.changed = make(chan struct{})
 }
 
+// set changes faults.
+func (fakeStore *fakeStore) set(change func()) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	change()
+}
+
 // save and back stand for a store that loses its latest writes.
-func (fakeStore *fakeStore) save() { fakeStore.saved = maps.Clone(fakeStore.entries) }
-func (fakeStore *fakeStore) back() { fakeStore.entries = maps.Clone(fakeStore.saved) }
+func (fakeStore *fakeStore) save() {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.saved = maps.Clone(fakeStore.entries)
+}
+
+func (fakeStore *fakeStore) back() {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.entries = maps.Clone(fakeStore.saved)
+}
 
-// host is an entry host as far as the configuration goes.
-type host struct {
+// entryHost is an entry host as far as the configuration goes.
+type entryHost struct {
 	world    *world
 	name     string
 	follower *follower.Follower
@@ -155,7 +176,7 @@
 	recorder recorder.Recorder
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
-	// cut is true while the host can't reach its peers.
+	// cut is true while the host can't reach its peers; world.mu guards it.
 	cut bool
 }
 
@@ -163,12 +184,14 @@
 type world struct {
 	t     *testing.T
 	store *fakeStore
-	hosts map[string]*host
+	// mu guards hosts, and cut of each.
+	mu    sync.Mutex
+	hosts map[string]*entryHost
 	ids   int
 }
 
 func newWorld(t *testing.T) *world {
-	return &world{t: t, store: newFakeStore(), hosts: map[string]*host{}}
+	return &world{t: t, store: newFakeStore(), hosts: map[string]*entryHost{}}
 }
 
 // keyOf returns the key of an operator, always the same.
@@ -182,7 +205,7 @@
 }
 
 func (world *world) start(name string, watcher bool) {
-	host := &host{world: world, name: name, echo: echo.New()}
+	host := &entryHost{world: world, name: name, echo: echo.New()}
 	host.recorder.SetProcess(name)
 	host.follower = follower.New(world.store, host, &host.recorder)
 	host.follower.SetWatcher(watcher)
@@ -192,16 +215,37 @@
 	front.Register(host.echo.Group(""))
 	ctx, cancel := context.WithCancel(world.t.Context())
 	host.cancel = cancel
+	world.mu.Lock()
 	world.hosts[name] = host
+	world.mu.Unlock()
 	host.done.Go(func() { _ = host.follower.Run(ctx) })
 	host.done.Go(func() { host.push(ctx) })
 	synctest.Wait()
 }
 
+// fleet starts the hosts a, b and c, of which a watches, and makes the first
+// committee of members, the first of them as the chair.
+func (world *world) fleet(members []string) {
+	world.start("a", true)
+	world.start("b", false)
+	world.start("c", false)
+	text := "propose chair " + members[0]
+	for _, member := range members {
+		text += fmt.Sprintf(", create member %s key KEY-%s", member, member)
+	}
+	answer := world.do(statement{host: "a", operator: members[0], signedBy: "root", id: "first", text: text})
+	if !strings.Contains(answer, "accepted") {
+		world.t.Fatal(answer)
+	}
+	synctest.Wait()
+}
+
 func (world *world) stop(name string) {
 	host := world.hosts[name]
 	host.cancel()
 	host.done.Wait()
+	world.mu.Lock()
+	defer world.mu.Unlock()
 	delete(world.hosts, name)
 }
 
@@ -211,14 +255,34 @@
 	}
 }
 
+// setCut cuts the host off from its peers, or joins it to them again.
+func (world *world) setCut(name string, cut bool) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.hosts[name].cut = cut
+}
+
+// peersOf returns the hosts that asker reaches, by name.
+func (world *world) peersOf(asker *entryHost) []*entryHost {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	var peers []*entryHost
+	for _, name := range slices.Sorted(maps.Keys(world.hosts)) {
+		if peer := world.hosts[name]; peer != asker && !peer.cut && !asker.cut {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
 // push tells the peers of each revision, as the peer links do.
-func (host *host) push(ctx context.Context) {
+func (entryHost *entryHost) push(ctx context.Context) {
 	for {
-		changed := host.follower.Changed()
-		revision := host.follower.Current().Revision()
-		for _, name := range slices.Sorted(maps.Keys(host.world.hosts)) {
-			if peer := host.world.hosts[name]; revision > 0 && peer != host && !peer.cut && !host.cut {
-				peer.follower.Offer(revision, host.follower.UpdateSince(revision-1))
+		changed := entryHost.follower.Changed()
+		revision := entryHost.follower.Current().Revision()
+		for _, peer := range entryHost.world.peersOf(entryHost) {
+			if revision > 0 {
+				peer.follower.Offer(revision, entryHost.follower.UpdateSince(revision-1))
 			}
 		}
 		select {
@@ -230,19 +294,14 @@
 }
 
 // Fetch asks the peers as the peer links do.
-func (host *host) Fetch(_ context.Context, since uint64) ([]byte, error) {
-	answered := false
-	for _, name := range slices.Sorted(maps.Keys(host.world.hosts)) {
-		peer := host.world.hosts[name]
-		if peer == host || peer.cut || host.cut {
-			continue
-		}
-		answered = true
+func (entryHost *entryHost) Fetch(_ context.Context, since uint64) ([]byte, error) {
+	peers := entryHost.world.peersOf(entryHost)
+	for _, peer := range peers {
 		if update := peer.follower.UpdateSince(since); len(update) > 0 {
 			return update, nil
 		}
 	}
-	if !answered {
+	if len(peers) == 0 {
 		return nil, errors.New("no peer in reach")
 	}
 	return nil, nil
--- a/internal/arbiter/action.go
+++ b/internal/arbiter/action.go
@@ -92,7 +92,7 @@
 	if _, err := state.configuration.Apply(proposal.changes...); rule.inFavour && err != nil {
 		return state, Outcome{}, &CommandError{kind: BadChange, detail: "the change can't be made", cause: err}
 	}
-	result := Voted
+	result := Ruled
 	switch {
 	case !rule.inFavour && tied:
 		result = Rejected
--- a/internal/arbiter/outcome.go
+++ b/internal/arbiter/outcome.go
@@ -8,7 +8,9 @@
 // Result is what became of a command or a proposal.
 type Result int
 
-// The results. Open means that a proposal waits for votes or for the chair.
+// The results. Open means that a proposal waits for votes or for the chair,
+// Ruled that the chair ruled for it and it still waits for votes, Unfit that
+// its change no longer fits the configuration.
 const (
 	Open Result = iota
 	Accepted
@@ -16,12 +18,13 @@
 	Withdrawn
 	Overruled
 	Voted
+	Ruled
 	Unfit
 )
 
 // String returns the result in lower case.
 func (result Result) String() string {
-	return [...]string{"open", "accepted", "rejected", "withdrawn", "overruled", "voted", "unfit"}[result]
+	return [...]string{"open", "accepted", "rejected", "withdrawn", "overruled", "voted", "ruled", "unfit"}[result]
 }
 
 // Outcome says what became of a command or a proposal.
@@ -64,6 +67,8 @@
 		return fmt.Sprintf("proposal %s is open; it waits for votes or the chair", outcome.proposal)
 	case Voted:
 		return fmt.Sprintf("the vote on proposal %s counts; the proposal is open", outcome.proposal)
+	case Ruled:
+		return fmt.Sprintf("proposal %s prevails by the chair's ruling; it waits for votes", outcome.proposal)
 	case Unfit:
 		return fmt.Sprintf("proposal %s no longer fits the configuration and is closed", outcome.proposal)
 	}
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -81,7 +81,7 @@
 // never applies twice, so to send it again is safe.
 func (answerError *AnswerError) mayTryNext() bool {
 	kind := answerError.Kind()
-	return kind == "not-known-yet" || kind == "not-accepted"
+	return kind == "not-known-yet" || kind == "not-accepted" || strings.HasPrefix(kind, "store-")
 }
 
 func again(id string, at time.Time) string { return id + "@" + at.Format(time.RFC3339Nano) }
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -70,7 +70,7 @@
 
 // Error says what is known and how to go on.
 func (submitError *SubmitError) Error() string {
-	remedy := "it had no effect; send it again when the store answers"
+	remedy := "nothing changed; send it again when the store answers"
 	if submitError.kind == NotKnown {
 		remedy = fmt.Sprintf("ask again with: outcome %s; sending it again with the same id never applies it twice", submitError.id)
 	}
