arbiter, definer, follower: one outcome in every order, and histories told apart

A ruling closed the rivals at once, so the outcome hung on whether it came before or after the votes rejected the proposal that the chair preferred. Now a ruling puts one proposal first; its rivals are overruled when it is accepted, and free again when it is rejected or withdrawn.

Each configuration carries a lineage, a digest of its steps: after a store that went back, two histories can reach one revision number, and a step of the one applied to the other would leave hosts with different configurations under one number.

--- a/internal/administrator/show.go
+++ b/internal/administrator/show.go
@@ -267,8 +267,10 @@
 		causes = append(causes, fmt.Sprintf("overtaken by revision %d", mark.Revision()))
 	}
 	switch {
-	case proposal.Prevails():
+	case proposal.Ruling().Prevails():
 		return "votes; the chair ruled for it"
+	case proposal.Ruling().Yields() != "":
+		return "proposal " + proposal.Ruling().Yields() + ", for which the chair ruled"
 	case len(causes) > 0:
 		return "the chair: " + strings.Join(slices.Compact(causes), ", ")
 	case state.Tied(proposal):
--- a/internal/arbiter/action.go
+++ b/internal/arbiter/action.go
@@ -15,7 +15,7 @@
 		return state, Outcome{}, &CommandError{kind: BadChange, detail: "the change can't be made", cause: err}
 	}
 	votes := []Vote{NewVote(command.operator, true)}
-	proposal := NewProposal(command.id, command.operator, propose.base, propose.changes, now, votes, false)
+	proposal := NewProposal(command.id, command.operator, propose.base, propose.changes, now, votes, Ruling{})
 	state.proposals = append(state.proposals, proposal)
 	if state.Revision() == 0 {
 		if next.Committee().Size() == 0 {
@@ -123,13 +123,15 @@
 }
 
 // prefer makes proposal prevail over its rivals with the chair's vote, and
-// accepts it where that vote breaks a tie.
+// accepts it where that vote breaks a tie. The rivals stay open until it is
+// accepted: should the votes reject it, they are as if it had never been.
 func (state State) prefer(proposal Proposal, chair string, tied bool, now time.Time) State {
 	for _, rival := range state.Rivals(proposal) {
-		state = state.close(rival, Overruled, now)
+		rival.ruling = NewRuling(false, proposal.id)
+		state = state.replace(rival)
 	}
 	proposal = proposal.withVote(chair, true)
-	proposal.prevails = true
+	proposal.ruling = NewRuling(true, "")
 	state = state.replace(proposal)
 	if tied {
 		state = state.accept(proposal, definer.ByCastingVote, now)
--- a/internal/arbiter/arbiter.go
+++ b/internal/arbiter/arbiter.go
@@ -49,6 +49,29 @@
 // InFavour reports whether the vote is for the proposal.
 func (vote Vote) InFavour() bool { return vote.inFavour }
 
+// Ruling is what the chair decided on a proposal that collides. The zero value
+// is no ruling.
+type Ruling struct {
+	// prevails is true where the chair's last ruling was for the proposal.
+	prevails bool
+	// yields names the proposal that the chair's last ruling put before this
+	// one; once that is accepted, this one is overruled.
+	yields string
+}
+
+// NewRuling returns a ruling for a proposal, or one that makes it yield to
+// another.
+func NewRuling(prevails bool, yields string) Ruling {
+	return Ruling{prevails: prevails, yields: yields}
+}
+
+// Prevails reports whether the chair ruled for the proposal.
+func (ruling Ruling) Prevails() bool { return ruling.prevails }
+
+// Yields returns the id of the proposal that the chair put before this one, or
+// empty.
+func (ruling Ruling) Yields() string { return ruling.yields }
+
 // Proposal is a change that waits for the committee. It is immutable.
 type Proposal struct {
 	// id is that of the command that proposed it.
@@ -60,16 +83,15 @@
 	at      time.Time
 	// votes holds at most one vote of each member, in the order of their
 	// first vote.
-	votes []Vote
-	// prevails is true once the chair ruled for it over what it collides with.
-	prevails bool
+	votes  []Vote
+	ruling Ruling
 }
 
 // NewProposal returns an open proposal.
-func NewProposal(id, author string, base uint64, changes []definer.Change, at time.Time, votes []Vote, prevails bool) Proposal {
+func NewProposal(id, author string, base uint64, changes []definer.Change, at time.Time, votes []Vote, ruling Ruling) Proposal {
 	return Proposal{
 		id: id, author: author, base: base, changes: slices.Clone(changes),
-		at: at, votes: slices.Clone(votes), prevails: prevails,
+		at: at, votes: slices.Clone(votes), ruling: ruling,
 	}
 }
 
@@ -91,8 +113,8 @@
 // Votes returns the votes so far; callers must not change it.
 func (proposal Proposal) Votes() []Vote { return proposal.votes }
 
-// Prevails reports whether the chair ruled for the proposal.
-func (proposal Proposal) Prevails() bool { return proposal.prevails }
+// Ruling returns what the chair ruled.
+func (proposal Proposal) Ruling() Ruling { return proposal.ruling }
 
 // Collides reports whether both proposals touch one object, or one removes
 // what the other needs.
--- a/internal/arbiter/settle.go
+++ b/internal/arbiter/settle.go
@@ -43,7 +43,7 @@
 // Disputed reports whether proposal collides with an open proposal or an
 // accepted change, and the chair has not ruled for it.
 func (state State) Disputed(proposal Proposal) bool {
-	if proposal.prevails {
+	if proposal.ruling.prevails {
 		return false
 	}
 	return len(state.Rivals(proposal)) > 0 || len(state.Overtaken(proposal)) > 0
@@ -68,7 +68,7 @@
 }
 
 func decisionOn(proposal Proposal) definer.Decision {
-	if proposal.prevails {
+	if proposal.ruling.prevails {
 		return definer.ByRuling
 	}
 	return definer.ByMajority
@@ -93,14 +93,20 @@
 func (state State) accept(proposal Proposal, decision definer.Decision, now time.Time) State {
 	voters := proposal.voters(state.configuration.Committee(), true)
 	origin := definer.NewOrigin(proposal.id, proposal.author, now, voters, decision)
-	step := definer.NewStep(state.Revision()+1, proposal.changes, origin)
+	step := state.configuration.Step(proposal.changes, origin)
 	next, err := state.configuration.Follow(step)
 	if err != nil {
 		return state.close(proposal, Unfit, now)
 	}
 	state.configuration = next
 	state.steps = append(state.steps, step)
-	return state.close(proposal, Accepted, now)
+	state = state.close(proposal, Accepted, now)
+	for _, other := range state.proposals {
+		if other.ruling.yields == proposal.id {
+			state = state.close(other, Overruled, now)
+		}
+	}
+	return state
 }
 
 // close takes proposal off the open ones and remembers result.
--- a/internal/definer/apply.go
+++ b/internal/definer/apply.go
@@ -26,7 +26,8 @@
 	Missing
 	// InUse means that an object to remove is needed by another.
 	InUse
-	// OutOfOrder means that a step does not follow on the revision.
+	// OutOfOrder means that a step does not follow on the revision, or follows
+	// on another history that had the same revision number.
 	OutOfOrder
 )
 
@@ -81,7 +82,7 @@
 
 // Follow returns the configuration at the revision that step leads to.
 func (configuration *Configuration) Follow(step Step) (*Configuration, error) {
-	if step.revision != configuration.revision+1 {
+	if step.revision != configuration.revision+1 || step.lineage != step.origin.lineageAfter(configuration.lineage) {
 		detail := fmt.Sprintf("step to revision %d does not follow on %d", step.revision, configuration.revision)
 		return nil, NewChangeError(OutOfOrder, Object{kind: "configuration"}, detail, "fetch a whole snapshot")
 	}
@@ -90,6 +91,7 @@
 		return nil, err
 	}
 	next.revision = step.revision
+	next.lineage = step.lineage
 	for _, change := range step.changes {
 		next.marks[change.Touches()] = NewMark(step.revision, step.origin)
 	}
--- a/internal/definer/committee.go
+++ b/internal/definer/committee.go
@@ -123,7 +123,7 @@
 // Equal reports whether both hold the same objects and committee at the same
 // revision.
 func (configuration *Configuration) Equal(other *Configuration) bool {
-	return configuration.revision == other.revision &&
+	return configuration.revision == other.revision && configuration.lineage == other.lineage &&
 		maps.Equal(configuration.services, other.services) &&
 		maps.Equal(configuration.pools, other.pools) &&
 		maps.Equal(configuration.endpoints, other.endpoints) &&
--- a/internal/definer/configuration.go
+++ b/internal/definer/configuration.go
@@ -11,7 +11,11 @@
 // at revision 0.
 type Configuration struct {
 	// revision only rises; 0 means that nothing was ever accepted.
-	revision  uint64
+	revision uint64
+	// lineage is a digest of all steps that led here, so that two histories
+	// which reached one revision number, as after a store that went back, are
+	// told apart.
+	lineage   uint64
 	services  map[string]Service
 	pools     map[string]struct{}
 	endpoints map[string]Endpoint
@@ -25,6 +29,16 @@
 // Revision returns the revision, which only rises.
 func (configuration *Configuration) Revision() uint64 { return configuration.revision }
 
+// Lineage returns a digest of all steps that led to this revision.
+func (configuration *Configuration) Lineage() uint64 { return configuration.lineage }
+
+// WithLineage returns a copy with the lineage of a snapshot.
+func (configuration *Configuration) WithLineage(lineage uint64) *Configuration {
+	clone := configuration.clone()
+	clone.lineage = lineage
+	return clone
+}
+
 // WithRevision returns a copy at revision.
 func (configuration *Configuration) WithRevision(revision uint64) *Configuration {
 	clone := configuration.clone()
@@ -119,6 +133,7 @@
 func (configuration *Configuration) clone() *Configuration {
 	return &Configuration{
 		revision:  configuration.revision,
+		lineage:   configuration.lineage,
 		services:  cloneMap(configuration.services),
 		pools:     cloneMap(configuration.pools),
 		endpoints: cloneMap(configuration.endpoints),
--- a/internal/definer/origin.go
+++ b/internal/definer/origin.go
@@ -1,6 +1,8 @@
 package definer
 
 import (
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -55,18 +57,37 @@
 type Step struct {
 	// revision is one more than that of the step before.
 	revision uint64
-	changes  []Change
-	origin   Origin
+	// lineage is that of the configuration that the step leads to.
+	lineage uint64
+	changes []Change
+	origin  Origin
+}
+
+// NewStep returns the step to revision and lineage, as read from elsewhere.
+func NewStep(revision, lineage uint64, changes []Change, origin Origin) Step {
+	return Step{revision: revision, lineage: lineage, changes: slices.Clone(changes), origin: origin}
 }
 
-// NewStep returns the step to revision.
-func NewStep(revision uint64, changes []Change, origin Origin) Step {
-	return Step{revision: revision, changes: slices.Clone(changes), origin: origin}
+// Step returns the step that makes changes to configuration.
+func (configuration *Configuration) Step(changes []Change, origin Origin) Step {
+	return NewStep(configuration.revision+1, origin.lineageAfter(configuration.lineage), changes, origin)
+}
+
+// lineageAfter returns the lineage of what follows on lineage by this origin.
+// Ids of proposals are unique, so they stand for their changes.
+func (origin Origin) lineageAfter(lineage uint64) uint64 {
+	digest := fnv.New64a()
+	// Writes to a digest never fail.
+	_, _ = fmt.Fprintf(digest, "%d %d %s", lineage, origin.at.UnixMilli(), origin.proposal)
+	return digest.Sum64()
 }
 
 // Revision returns the revision that the step leads to.
 func (step Step) Revision() uint64 { return step.revision }
 
+// Lineage returns the lineage of the configuration that the step leads to.
+func (step Step) Lineage() uint64 { return step.lineage }
+
 // Changes returns what the step changes; callers must not change it.
 func (step Step) Changes() []Change { return step.changes }
 
--- a/internal/encoder/head.go
+++ b/internal/encoder/head.go
@@ -67,6 +67,7 @@
 	for _, step := range steps {
 		messages = append(messages, &RevisionStep{
 			Revision: step.Revision(),
+			Lineage:  step.Lineage(),
 			Changes:  changeMessages(step.Changes()),
 			Origin:   originMessage(step.Origin()),
 		})
@@ -86,7 +87,7 @@
 		if err != nil {
 			return nil, err
 		}
-		steps = append(steps, definer.NewStep(base, changes, readOrigin(message.GetOrigin())))
+		steps = append(steps, definer.NewStep(base, message.GetLineage(), changes, readOrigin(message.GetOrigin())))
 	}
 	return steps, nil
 }
@@ -108,7 +109,7 @@
 	message := &Proposal{
 		Id: proposal.ID(), Author: proposal.Author(), Base: proposal.Base(),
 		Changes: changeMessages(proposal.Changes()), UnixMilliseconds: proposal.At().UnixMilli(),
-		Prevails: proposal.Prevails(),
+		Prevails: proposal.Ruling().Prevails(), Yields: proposal.Ruling().Yields(),
 	}
 	for _, vote := range proposal.Votes() {
 		message.Votes = append(message.Votes, &ProposalVote{Member: vote.Member(), InFavour: vote.InFavour()})
@@ -127,7 +128,7 @@
 	}
 	at := time.UnixMilli(message.GetUnixMilliseconds())
 	return arbiter.NewProposal(message.GetId(), message.GetAuthor(), message.GetBase(),
-		changes, at, votes, message.GetPrevails()), nil
+		changes, at, votes, arbiter.NewRuling(message.GetPrevails(), message.GetYields())), nil
 }
 
 func outcomeMessage(outcome arbiter.Outcome) *CommandOutcome {
--- a/internal/encoder/snapshot.go
+++ b/internal/encoder/snapshot.go
@@ -27,6 +27,17 @@
 // Steps returns the steps; callers must not change it.
 func (update Update) Steps() []definer.Step { return update.steps }
 
+// Revision returns the revision that the update leads to; 0 for an empty one.
+func (update Update) Revision() uint64 {
+	if last := len(update.steps) - 1; last >= 0 {
+		return update.steps[last].Revision()
+	}
+	if update.snapshot != nil {
+		return update.snapshot.Revision()
+	}
+	return 0
+}
+
 // MarshalUpdate writes an update.
 func MarshalUpdate(update Update) ([]byte, error) {
 	message := &ConfigurationUpdate{Steps: stepMessages(update.steps)}
@@ -81,6 +92,7 @@
 func snapshotMessage(configuration *definer.Configuration) *ConfigurationSnapshot {
 	message := &ConfigurationSnapshot{
 		Revision: configuration.Revision(),
+		Lineage:  configuration.Lineage(),
 		Pools:    configuration.Pools(),
 		Chair:    configuration.Committee().Chair(),
 		Origins:  map[uint64]*RevisionOrigin{},
@@ -137,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return configuration.WithRevision(message.GetRevision()).WithMarks(marks), nil
+	return configuration.WithRevision(message.GetRevision()).WithLineage(message.GetLineage()).WithMarks(marks), nil
 }
 
 func readMarks(message *ConfigurationSnapshot) (map[definer.Object]definer.Mark, error) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -116,7 +116,7 @@
 		return
 	}
 	if len(update) > 0 {
-		// A bad update is as good as none: the rest is asked for below.
+		// A bad update is as good as none: what is missing is asked for below.
 		_ = follower.take(update)
 	}
 	if follower.Current().Revision() >= revision {
@@ -131,7 +131,7 @@
 }
 
 // UpdateSince returns what takes a peer from revision to the current one, or
-// no bytes where the peer is as far.
+// no bytes where the peer is as far. For revision 0 it is a whole snapshot.
 func (follower *Follower) UpdateSince(revision uint64) []byte {
 	update, ok := follower.updateSince(revision)
 	if !ok {
@@ -153,20 +153,24 @@
 		return encoder.Update{}, false
 	}
 	missing := current.Revision() - revision
-	if missing > uint64(len(follower.kept)) {
+	if revision == 0 || missing > uint64(len(follower.kept)) {
 		return encoder.NewUpdate(current, nil), true
 	}
 	return encoder.NewUpdate(nil, follower.kept[uint64(len(follower.kept))-missing:]), true
 }
 
 // Adopt moves to the configuration that update leads to, if it is higher. It
-// fails with a [definer.ChangeError] where the steps don't follow on.
+// fails with a [definer.ChangeError] where the steps don't follow on what is in
+// force; an update with a snapshot always does.
 func (follower *Follower) Adopt(update encoder.Update) error {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	current := follower.Current()
+	if update.Revision() <= current.Revision() {
+		return nil
+	}
 	next, kept := current, follower.kept
-	if snapshot := update.Snapshot(); snapshot != nil && snapshot.Revision() > current.Revision() {
+	if snapshot := update.Snapshot(); snapshot != nil {
 		next, kept = snapshot, nil
 	}
 	for _, step := range update.Steps() {
@@ -179,10 +183,8 @@
 		}
 		next, kept = following, append(kept[:len(kept):len(kept)], step)
 	}
-	if next.Revision() > current.Revision() {
-		follower.kept = kept[max(0, len(kept)-MostKept):]
-		follower.enforce(next)
-	}
+	follower.kept = kept[max(0, len(kept)-MostKept):]
+	follower.enforce(next)
 	return nil
 }
 
@@ -196,7 +198,8 @@
 	follower.record(fmt.Sprintf("revision %d is in force", next.Revision()))
 }
 
-// take decodes and adopts an update of a peer.
+// take decodes and adopts an update of a peer. It fails where the update can't
+// be read, or its steps follow on another history than this host's.
 func (follower *Follower) take(data []byte) error {
 	update, err := encoder.UnmarshalUpdate(data)
 	if err != nil {
--- a/internal/follower/run.go
+++ b/internal/follower/run.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/chivespool/chivespool/internal/arbiter"
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/encoder"
 )
 
@@ -119,14 +122,24 @@
 	}
 }
 
-// fetch asks a peer for what is newer.
+// fetch asks a peer for what is newer, and for a whole snapshot where the
+// peer's steps don't follow on what is in force here.
 func (follower *Follower) fetch(ctx context.Context) error {
+	err := follower.fetchSince(ctx, follower.Current().Revision())
+	if errors.As(err, new(*definer.ChangeError)) {
+		follower.record("steps of a peer follow on another history; asking for a snapshot")
+		err = follower.fetchSince(ctx, 0)
+	}
+	return err
+}
+
+func (follower *Follower) fetchSince(ctx context.Context, since uint64) error {
 	if follower.peers == nil {
 		return fmt.Errorf("fetch the configuration: there are no peers; read it from the store")
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	update, err := follower.peers.Fetch(ctx, follower.Current().Revision())
+	update, err := follower.peers.Fetch(ctx, since)
 	if err != nil {
 		return fmt.Errorf("fetch the configuration: %w", err)
 	}
@@ -159,7 +172,7 @@
 		follower.record(fmt.Sprintf("the store went back to revision %d; revision %d stays in force", head.Revision(), current))
 	}
 	if head.Revision() > current {
-		if err := follower.adoptHead(ctx, head.Base(), encoder.NewUpdate(nil, head.Steps())); err != nil {
+		if err := follower.adoptHead(ctx, head); err != nil {
 			return err
 		}
 	}
@@ -167,19 +180,26 @@
 	return nil
 }
 
-func (follower *Follower) adoptHead(ctx context.Context, base uint64, update encoder.Update) error {
-	if base > follower.Current().Revision() {
-		entry, err := follower.store.Get(ctx, encoder.SnapshotKey(base))
+// adoptHead follows the head's steps, from its base snapshot where they don't
+// follow on what is in force here.
+func (follower *Follower) adoptHead(ctx context.Context, head arbiter.Head) error {
+	if head.Base() <= follower.Current().Revision() {
+		err := follower.Adopt(encoder.NewUpdate(nil, head.Steps()))
+		if !errors.As(err, new(*definer.ChangeError)) {
+			return err
+		}
+	}
+	snapshot := new(definer.Configuration)
+	if head.Base() > 0 {
+		entry, err := follower.store.Get(ctx, encoder.SnapshotKey(head.Base()))
 		if err != nil {
 			return fmt.Errorf("read the base snapshot: %w", err)
 		}
-		snapshot, err := encoder.UnmarshalSnapshot(entry.Data())
-		if err != nil {
+		if snapshot, err = encoder.UnmarshalSnapshot(entry.Data()); err != nil {
 			return err
 		}
-		update = encoder.NewUpdate(snapshot, update.Steps())
 	}
-	return follower.Adopt(update)
+	return follower.Adopt(encoder.NewUpdate(snapshot, head.Steps()))
 }
 
 // jitter returns a duration between half and one and a half of mean, so that
--- a/internal/submitter/load.go
+++ b/internal/submitter/load.go
@@ -35,24 +35,19 @@
 		state := arbiter.NewState(head, current, submitter.bootstrap).Rebased(current)
 		return loaded{state: state, version: entry.Version(), rebased: true}, nil
 	}
-	configuration, err := submitter.configuration(ctx, head, current)
+	configuration, err := follow(current, head)
+	if err != nil {
+		configuration, err = submitter.fromBase(ctx, head)
+	}
 	if err != nil {
 		return loaded{}, err
 	}
 	return loaded{state: arbiter.NewState(head, configuration, submitter.bootstrap), version: entry.Version()}, nil
 }
 
-// configuration follows head's steps from current, or from the base snapshot
-// where current is older than the base.
-func (submitter *Submitter) configuration(ctx context.Context, head arbiter.Head, current *definer.Configuration) (*definer.Configuration, error) {
-	configuration := current
-	if current.Revision() < head.Base() {
-		snapshot, err := submitter.snapshot(ctx, head.Base())
-		if err != nil {
-			return nil, err
-		}
-		configuration = snapshot
-	}
+// follow returns the configuration of head, reached from configuration. It
+// fails where that is older than head's base, or of another history.
+func follow(configuration *definer.Configuration, head arbiter.Head) (*definer.Configuration, error) {
 	for _, step := range head.Steps() {
 		if step.Revision() <= configuration.Revision() {
 			continue
@@ -63,15 +58,26 @@
 		}
 		configuration = next
 	}
+	if configuration.Revision() < head.Revision() {
+		return nil, fmt.Errorf("revision %d is older than the base %d; read the base snapshot", configuration.Revision(), head.Base())
+	}
 	return configuration, nil
 }
 
-func (submitter *Submitter) snapshot(ctx context.Context, base uint64) (*definer.Configuration, error) {
-	entry, err := submitter.store.Get(ctx, encoder.SnapshotKey(base))
+// fromBase returns the configuration of head, reached from its base snapshot.
+func (submitter *Submitter) fromBase(ctx context.Context, head arbiter.Head) (*definer.Configuration, error) {
+	if head.Base() == 0 {
+		return follow(new(definer.Configuration), head)
+	}
+	entry, err := submitter.store.Get(ctx, encoder.SnapshotKey(head.Base()))
 	if err != nil {
 		return nil, fmt.Errorf("read the base snapshot: %w", err)
 	}
-	return encoder.UnmarshalSnapshot(entry.Data())
+	snapshot, err := encoder.UnmarshalSnapshot(entry.Data())
+	if err != nil {
+		return nil, err
+	}
+	return follow(snapshot, head)
 }
 
 // rebase gives the state a new base once its steps have grown. It writes the
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -183,12 +183,11 @@
 // tell puts the state's configuration in force on this host. A host that is
 // further already stays there.
 func (submitter *Submitter) tell(state arbiter.State) {
-	update := encoder.NewUpdate(nil, state.Steps())
-	if submitter.configurations.Current().Revision() < state.Base() {
-		update = encoder.NewUpdate(state.Configuration(), nil)
+	if err := submitter.configurations.Adopt(encoder.NewUpdate(nil, state.Steps())); err == nil {
+		return
 	}
-	// A failure leaves it to the follower, which learns of the write anyhow.
-	_ = submitter.configurations.Adopt(update)
+	// A whole configuration follows on any history, so this can't fail.
+	_ = submitter.configurations.Adopt(encoder.NewUpdate(state.Configuration(), nil))
 }
 
 func isKind(err error, kind connector.ErrorKind) bool {
