--- a/internal/arbiter/order_test.go
+++ b/internal/arbiter/order_test.go
@@ -130,6 +130,9 @@
 			command := arbiter.NewCommand(event.id, member(event.seat), keyOf(member(event.seat)), now, event.action)
 			// A refusal, as of a vote on what is closed, changes nothing.
 			state, _, _ = arbiter.Decide(state, command, now)
+			if _, known := state.Outcome(event.id); known {
+				requireNoEffect(t, state, command, now)
+			}
 		}
 		endpoint, _ := state.Configuration().Endpoint("e")
 		if want := wantedSlots(ballots); endpoint.Slots() != want {
@@ -137,3 +140,11 @@
 		}
 	})
 }
+
+// requireNoEffect takes in a command again, which must change nothing.
+func requireNoEffect(t *rapid.T, state arbiter.State, command arbiter.Command, now time.Time) {
+	again, _, err := arbiter.Decide(state, command, now)
+	if err != nil || again.Revision() != state.Revision() || len(again.Outcomes()) != len(state.Outcomes()) {
+		t.Fatalf("command %s again: %v, revision %d after %d", command.ID(), err, again.Revision(), state.Revision())
+	}
+}
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -138,8 +138,8 @@
 	if err != nil {
 		return arbiter.Outcome{}, err
 	}
+	submission.tell(loaded.state)
 	if outcome, ok := loaded.state.Outcome(submission.command.ID()); ok {
-		submission.tell(loaded.state)
 		return outcome, nil
 	}
 	if loaded.version > submission.version {
