--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,8 +17,15 @@
 	"github.com/chivespool/chivespool/internal/definer"
 )
 
-// DefaultLongShare is the part of the slots that long work may hold.
-const DefaultLongShare = 0.5
+const (
+	// DefaultLongShare is the part of the slots that long work may hold while
+	// there is short work.
+	DefaultLongShare = 0.3
+	// peakHalfLife is how fast a peak of short work is forgotten, and
+	// peakMargin what is kept free over it.
+	peakHalfLife = 5 * time.Second
+	peakMargin   = 1.5
+)
 
 // Keeper holds the slots of a set of endpoints. The zero value has none.
 type Keeper struct {
@@ -32,6 +40,9 @@
 	endpoints []*endpoint
 	// long is the sum of the endpoints' long.
 	long int
+	// peak is the most slots that short work held lately, faded since peakAt.
+	peak   float64
+	peakAt time.Time
 	// started is true after the first SetEndpoints; endpoints that come later
 	// begin cold.
 	started bool
@@ -120,15 +131,31 @@
 // LongRunning returns how many slots long work holds.
 func (keeper *Keeper) LongRunning() int { return keeper.long }
 
-// LongCap returns how many slots long work may hold: its share, never the last
-// slot, but always one.
+// LongCap returns how many slots long work may hold: its share, or what short
+// work left free lately where that is more; never the last slot, but always
+// one.
 func (keeper *Keeper) LongCap(now time.Time) int {
 	share := keeper.longShare
 	if share == 0 {
 		share = DefaultLongShare
 	}
 	slots := keeper.Slots(now)
-	return max(1, min(int(share*float64(slots)), slots-1))
+	left := float64(slots) - peakMargin*keeper.fadedPeak(now)
+	return max(1, min(int(max(share*float64(slots), left)), slots-1))
+}
+
+func (keeper *Keeper) fadedPeak(now time.Time) float64 {
+	return keeper.peak * math.Exp2(-float64(now.Sub(keeper.peakAt))/float64(peakHalfLife))
+}
+
+// notePeak takes in how many slots short work holds now.
+func (keeper *Keeper) notePeak(now time.Time) {
+	short := -keeper.long
+	for _, endpoint := range keeper.endpoints {
+		short += len(endpoint.running)
+	}
+	keeper.peak = max(float64(short), keeper.fadedPeak(now))
+	keeper.peakAt = now
 }
 
 // Take takes a slot for need, or returns nil where need should wait.
@@ -144,6 +171,8 @@
 	endpoint.add(ticket)
 	if need.lane == definer.Long {
 		keeper.long++
+	} else {
+		keeper.notePeak(now)
 	}
 	return ticket
 }
--- a/internal/keeper/policy.go
+++ b/internal/keeper/policy.go
@@ -26,6 +26,11 @@
 // slowRatio is the slowness from which an endpoint counts as slow.
 const slowRatio = 2.0
 
+// queueWeight is how much more than its own share of the wait a request counts
+// before it takes a slow endpoint: one that does so also spares those behind
+// it, so the best threshold for all is below the one for itself.
+const queueWeight = 4
+
 // choose returns the endpoint for need, or nil where need should wait.
 func (keeper *Keeper) choose(now time.Time, need Need) *endpoint {
 	candidates := keeper.candidates(now, need)
@@ -138,11 +143,11 @@
 	fast := 0
 	for _, endpoint := range keeper.endpoints {
 		if endpoint.usable(now) && endpoint.slowness(now, &keeper.Learner) <= slowRatio {
-			fast += endpoint.limit()
+			fast += endpoint.limit() - endpoint.long
 		}
 	}
 	if fast == 0 {
 		return !need.patient
 	}
-	return 1+float64(need.waiting)/float64(fast) >= slowness
+	return 1+queueWeight*float64(need.waiting)/float64(fast) >= slowness
 }
--- a/internal/router/borrowing.go
+++ b/internal/router/borrowing.go
@@ -12,6 +12,9 @@
 const (
 	// homeDownTime is how long a home that was out of reach is left alone.
 	homeDownTime = 200 * time.Millisecond
+	// borrowDelay is how long a request waits before other homes are asked; it
+	// spares the wants of requests that our own slots serve by then.
+	borrowDelay = 2 * time.Millisecond
 	// reachTime is how long the first request of a lane waits before homes in
 	// other regions are asked: the region is exhausted then.
 	reachTime = 30 * time.Millisecond
@@ -45,7 +48,7 @@
 	}
 	for _, lane := range [lanes]definer.Lane{definer.Short, definer.Long} {
 		head := pool.borrower(lane)
-		if head == nil {
+		if head == nil || now.Sub(head.since) < borrowDelay {
 			continue
 		}
 		for _, home := range pool.homes {
--- a/internal/router/home.go
+++ b/internal/router/home.go
@@ -34,7 +34,9 @@
 }
 
 // load is how many requests of ours would be at the home for each slot.
-func (otherHome *otherHome) load() float64 { return float64(otherHome.asked+1) / float64(max(1, otherHome.slots)) }
+func (otherHome *otherHome) load() float64 {
+	return float64(otherHome.asked+1) / float64(max(1, otherHome.slots))
+}
 
 // otherHomes returns the homes of pool but self, those of self's region first,
 // and keeps what is known of those that stay.
--- a/internal/router/lend.go
+++ b/internal/router/lend.go
@@ -11,9 +11,19 @@
 type lent struct {
 	borrower string
 	pool     *pool
+	// since is when the slot was lent.
+	since time.Time
 	grant
 }
 
+const (
+	// loanTime bounds a loan whose return got lost. A slot that comes back
+	// too early is over-filled for a while, which costs time only.
+	loanTime = 5 * time.Minute
+	// sweepInterval is how often overdue loans are looked for.
+	sweepInterval = 10 * time.Second
+)
+
 // Lend waits for a slot for borrower until ctx ends. Its error is always a
 // *refuser.Refusal that says not run. A loan whose grant can't be delivered
 // to borrower must be taken back by the caller.
@@ -23,13 +33,14 @@
 		detail := "this entry host is no home of pool " + want.pool
 		return Loan{}, refuser.New(refuser.KindNoEndpoint, refuser.NotRun, detail)
 	}
+	router.sweep(time.Now())
 	waiter := &waiter{request: want.Request(), borrower: borrower, spare: want.spare}
 	granted, err := pool.await(ctx, waiter)
 	if err != nil {
 		return Loan{}, err
 	}
 	id := router.lastLoan.Add(1)
-	router.loans.Store(id, &lent{borrower: borrower, pool: pool, grant: granted})
+	router.loans.Store(id, &lent{borrower: borrower, pool: pool, since: time.Now(), grant: granted})
 	pool.mu.Lock()
 	pool.counters.lent++
 	pool.mu.Unlock()
@@ -58,6 +69,21 @@
 	})
 }
 
+// sweep ends the loans that are overdue, once in a while.
+func (router *Router) sweep(now time.Time) {
+	last := router.sweptAt.Load()
+	if now.UnixNano()-last < int64(sweepInterval) || !router.sweptAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	router.loans.Range(func(id, value any) bool {
+		lent := value.(*lent)
+		if now.Sub(lent.since) > loanTime {
+			router.TakeBack(lent.borrower, id.(uint64), NewResult(Unused, 0))
+		}
+		return true
+	})
+}
+
 // end gives the slot back to the pool.
 func (lent *lent) end(result Result) {
 	pool := lent.pool
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -103,14 +103,15 @@
 
 // wait waits for the grant of a waiter that queues.
 func (pool *pool) wait(ctx context.Context, waiter *waiter) grant {
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(borrowDelay)
+	defer timer.Stop()
 	for {
 		select {
 		case granted := <-waiter.ready:
 			return granted
-		case <-ticker.C:
+		case <-timer.C:
 			pool.recheck(time.Now(), waiter)
+			timer.Reset(recheckInterval)
 		case <-ctx.Done():
 			return pool.leave(time.Now(), waiter, ctx.Err())
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,6 +43,8 @@
 	// loans holds the loans to others by id.
 	loans    sync.Map
 	lastLoan atomic.Uint64
+	// sweptAt is when overdue loans were last looked for, in nanoseconds.
+	sweptAt atomic.Int64
 	// tasks counts the borrowings that run.
 	tasks sync.WaitGroup
 }
