--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -22,6 +22,9 @@
 			storeCommand(),
 			hostListCommand(),
 			backendCommand(),
+			loadCommand(),
+			callCommand(),
+			awaitCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
