keeper: sessions of slow, failing, draining, cold and shedding endpoints; a floor that holds

A failure found while writing the sessions: the floor on ejections counted only when an endpoint was ejected, so that with two of four ejected and the others drained, or taken out, no endpoint took work. keepFloor now ends the oldest ejections whenever the set changes; testdata/floor failed before (usable: false). A pool whose endpoints all paused after shedding counted as without endpoint; a pause now only delays (testdata/shed, usable was false).

--- a/internal/keeper/endpoint.go
+++ b/internal/keeper/endpoint.go
@@ -52,9 +52,21 @@
 	endpoint.held = draining
 }
 
-// usable reports whether the endpoint takes new work.
+// serves reports whether the endpoint takes new work, now or after a pause.
+func (endpoint *endpoint) serves(now time.Time) bool {
+	return !endpoint.Drained() && !endpoint.draining(now) && !endpoint.ejected(now)
+}
+
+// usable reports whether the endpoint takes new work now.
 func (endpoint *endpoint) usable(now time.Time) bool {
-	return !endpoint.Drained() && endpoint.open(now)
+	return endpoint.serves(now) && !endpoint.paused(now)
+}
+
+// readmit ends an ejection before its time. The endpoint counts as slow, so
+// that it comes last.
+func (endpoint *endpoint) readmit(now time.Time, halfLife time.Duration) {
+	endpoint.ejectedUntil = time.Time{}
+	endpoint.observe(now, failedRatio, halfLife)
 }
 
 // limit returns how many requests may run now, at least 1.
@@ -91,7 +103,7 @@
 
 // learn takes in the result of one request, whose run time was ratio times the
 // expected.
-func (endpoint *endpoint) learn(now time.Time, result Result, ratio float64, halfLife time.Duration, mayEject bool) {
+func (endpoint *endpoint) learn(now time.Time, result Result, ratio float64, halfLife time.Duration) {
 	if result.reported {
 		endpoint.reported = result.inFlight
 	}
@@ -105,9 +117,7 @@
 		}
 	case Failed, Unreachable, Crashed:
 		endpoint.observe(now, max(ratio, failedRatio), halfLife)
-		if endpoint.fail(now, result.outcome, mayEject) {
-			endpoint.speed = speed{}
-		}
+		endpoint.fail(now, result.outcome)
 	case Shed:
 		endpoint.shed(now, len(endpoint.running))
 	case Draining:
--- a/internal/keeper/health.go
+++ b/internal/keeper/health.go
@@ -44,11 +44,6 @@
 }
 func (health *health) paused(now time.Time) bool { return now.Before(health.pausedUntil) }
 
-// open reports whether new work may go to the endpoint.
-func (health *health) open(now time.Time) bool {
-	return !health.ejected(now) && !health.draining(now) && !health.paused(now)
-}
-
 // succeed takes in an answer of an endpoint with slots slots.
 func (health *health) succeed(slots int) {
 	health.strikes = 0
@@ -59,21 +54,20 @@
 	}
 }
 
-// fail takes in a failure and reports whether it ejected the endpoint.
-func (health *health) fail(now time.Time, outcome Outcome, mayEject bool) bool {
+// fail takes in a failure, and ejects the endpoint after several.
+func (health *health) fail(now time.Time, outcome Outcome) {
 	health.strikes++
 	if outcome != Failed {
 		health.strikes = max(health.strikes, strikesToEject)
 	}
-	if health.strikes < strikesToEject || !mayEject || health.ejected(now) {
-		return false
+	if health.strikes < strikesToEject || health.ejected(now) {
+		return
 	}
 	health.ejectedUntil = now.Add(backoff(ejectionTime, ejectionMost, health.ejections))
 	health.ejections++
 	// The first failure of the one request let through ejects again.
 	health.strikes = strikesToEject - 1
 	health.allowed = 1
-	return true
 }
 
 // shed takes in a request that the endpoint refused as not run while running
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -78,7 +78,7 @@
 
 // SetEndpoints replaces the set of endpoints, and keeps what is known of those
 // that stay. Endpoints that come after the first call begin cold.
-func (keeper *Keeper) SetEndpoints(definitions []definer.Endpoint) {
+func (keeper *Keeper) SetEndpoints(now time.Time, definitions []definer.Endpoint) {
 	before := make(map[string]*endpoint, len(keeper.endpoints))
 	for _, endpoint := range keeper.endpoints {
 		before[endpoint.Name()] = endpoint
@@ -99,29 +99,32 @@
 	for _, endpoint := range after {
 		keeper.long += endpoint.long
 	}
+	keeper.keepFloor(now)
 }
 
 // SetDraining names the endpoints that others say are draining, in place of
 // those named before.
-func (keeper *Keeper) SetDraining(names []string) {
+func (keeper *Keeper) SetDraining(now time.Time, names []string) {
 	for _, endpoint := range keeper.endpoints {
 		endpoint.told(slices.Contains(names, endpoint.Name()))
 	}
+	keeper.keepFloor(now)
 }
 
 // Len returns the number of endpoints.
 func (keeper *Keeper) Len() int { return len(keeper.endpoints) }
 
-// Usable reports whether any endpoint takes new work, now or when a slot frees.
+// Usable reports whether any endpoint takes new work, now or when a slot frees
+// or a pause ends.
 func (keeper *Keeper) Usable(now time.Time) bool {
-	return slices.ContainsFunc(keeper.endpoints, func(endpoint *endpoint) bool { return endpoint.usable(now) })
+	return slices.ContainsFunc(keeper.endpoints, func(endpoint *endpoint) bool { return endpoint.serves(now) })
 }
 
 // Slots returns how many requests the endpoints that take work may run at once.
 func (keeper *Keeper) Slots(now time.Time) int {
 	slots := 0
 	for _, endpoint := range keeper.endpoints {
-		if endpoint.usable(now) {
+		if endpoint.serves(now) {
 			slots += endpoint.limit()
 		}
 	}
@@ -189,7 +192,8 @@
 	if result.outcome == Answered {
 		keeper.Observe(ticket.need, result.runTime)
 	}
-	endpoint.learn(now, result, ratio, keeper.halfLife(), keeper.mayEject(now))
+	endpoint.learn(now, result, ratio, keeper.halfLife())
+	keeper.keepFloor(now)
 }
 
 // holds reports whether endpoint is still in the set.
@@ -197,13 +201,27 @@
 	return slices.Contains(keeper.endpoints, endpoint)
 }
 
-// mayEject reports whether one more ejection leaves at least half in use.
-func (keeper *Keeper) mayEject(now time.Time) bool {
-	ejected := 0
-	for _, endpoint := range keeper.endpoints {
-		if endpoint.ejected(now) {
-			ejected++
+// keepFloor ends ejections, the oldest first, until at least half of the
+// endpoints that do not drain are in use. It leaves them marked as slow.
+func (keeper *Keeper) keepFloor(now time.Time) {
+	for {
+		inUse, ejected := 0, 0
+		var first *endpoint
+		for _, endpoint := range keeper.endpoints {
+			switch {
+			case endpoint.Drained() || endpoint.draining(now):
+			case !endpoint.ejected(now):
+				inUse++
+			default:
+				ejected++
+				if first == nil || endpoint.ejectedUntil.Before(first.ejectedUntil) {
+					first = endpoint
+				}
+			}
+		}
+		if ejected <= inUse {
+			return
 		}
+		first.readmit(now, keeper.halfLife())
 	}
-	return 2*(ejected+1) <= len(keeper.endpoints)
 }
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,197 @@
+package keeper
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// session drives one Keeper through a file of commands in virtual time.
+type session struct {
+	keeper  Keeper
+	now     time.Time
+	tickets map[int]*Ticket
+	last    int
+	// behaviours say how the backend server of each endpoint answers.
+	behaviours map[string]behaviour
+}
+
+type behaviour struct {
+	outcome Outcome
+	runTime time.Duration
+}
+
+// flight is a request under way in serve.
+type flight struct {
+	ticket *Ticket
+	behaviour
+	end time.Time
+}
+
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		session := &session{now: time.Unix(0, 0), tickets: make(map[int]*Ticket), behaviours: make(map[string]behaviour)}
+		datadriven.RunTest(t, path, session.run)
+	})
+}
+
+func (session *session) run(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	switch data.Cmd {
+	case "endpoints":
+		session.keeper.SetEndpoints(session.now, definitions(t, data))
+	case "draining":
+		session.keeper.SetDraining(session.now, strings.Fields(data.Input))
+	case "advance":
+		session.now = session.now.Add(duration(t, data, "by"))
+	case "behave":
+		session.behave(t, data)
+	case "take":
+		return session.take(t, data)
+	case "release":
+		var id int
+		data.ScanArgs(t, "id", &id)
+		session.keeper.Release(session.now, session.tickets[id], NewResult(outcomeOf(t, data), duration(t, data, "time")))
+	case "serve":
+		return session.serve(t, data)
+	case "lane":
+		class := ""
+		data.ScanArgs(t, "class", &class)
+		return fmt.Sprintln(session.keeper.Lane(class, definer.Short))
+	case "usable":
+		return fmt.Sprintln(session.keeper.Usable(session.now))
+	case "long-cap":
+		return fmt.Sprintln(session.keeper.LongCap(session.now))
+	case "status":
+		return session.status()
+	default:
+		t.Fatalf("unknown command %s", data.Cmd)
+	}
+	return ""
+}
+
+func (session *session) status() string {
+	var text strings.Builder
+	for _, status := range session.keeper.Status(session.now) {
+		fmt.Fprintf(&text, "%s %s %d/%d\n", status.Endpoint().Name(), status.State(), status.InFlight(), status.Limit())
+	}
+	return text.String()
+}
+
+func (session *session) behave(t *testing.T, data *datadriven.TestData) {
+	t.Helper()
+	for _, name := range data.CmdArgs[0].Vals {
+		session.behaviours[name] = behaviour{outcome: outcomeOf(t, data), runTime: duration(t, data, "time")}
+	}
+}
+
+func (session *session) take(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	ticket := session.keeper.Take(session.now, needOf(t, data))
+	if ticket == nil {
+		return "wait\n"
+	}
+	session.last++
+	session.tickets[session.last] = ticket
+	return fmt.Sprintf("%d on %s\n", session.last, ticket.Endpoint().Name())
+}
+
+// serve runs requests, some at once, and prints how many went where.
+func (session *session) serve(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	count, atOnce := 0, 1
+	data.ScanArgs(t, "count", &count)
+	data.MaybeScanArgs(t, "at-once", &atOnce)
+	counts := make(map[string]int)
+	var flights []flight
+	for started := 0; started < count || len(flights) > 0; {
+		if started < count && len(flights) < atOnce {
+			if ticket := session.keeper.Take(session.now, needOf(t, data)); ticket != nil {
+				started++
+				name := ticket.Endpoint().Name()
+				counts[name]++
+				behaviour := session.behaviours[name]
+				flights = append(flights, flight{ticket, behaviour, session.now.Add(behaviour.runTime)})
+				continue
+			}
+		}
+		if len(flights) == 0 {
+			return "stuck\n"
+		}
+		slices.SortStableFunc(flights, func(left, right flight) int { return left.end.Compare(right.end) })
+		session.now = flights[0].end
+		session.keeper.Release(session.now, flights[0].ticket, NewResult(flights[0].outcome, flights[0].runTime))
+		flights = flights[1:]
+	}
+	var text strings.Builder
+	for _, status := range session.keeper.Status(session.now) {
+		name := status.Endpoint().Name()
+		fmt.Fprintf(&text, "%s %d\n", name, counts[name])
+	}
+	return text.String()
+}
+
+// definitions reads lines of a name, a number of slots, and perhaps drained.
+func definitions(t *testing.T, data *datadriven.TestData) []definer.Endpoint {
+	t.Helper()
+	var endpoints []definer.Endpoint
+	for line := range strings.Lines(data.Input) {
+		var name, drained string
+		var slots int
+		_, _ = fmt.Sscan(line, &name, &slots, &drained)
+		endpoint := definer.NewEndpoint(name, "pool", "", definer.NewPlace("rift", "r1"), slots)
+		endpoints = append(endpoints, endpoint.WithDrained(drained == "drained"))
+	}
+	return endpoints
+}
+
+func needOf(t *testing.T, data *datadriven.TestData) Need {
+	t.Helper()
+	lane := definer.Short
+	if data.HasArg("long") {
+		lane = definer.Long
+	}
+	class, avoid, waiting := "", "", 0
+	data.MaybeScanArgs(t, "class", &class)
+	data.MaybeScanArgs(t, "avoid", &avoid)
+	data.MaybeScanArgs(t, "waiting", &waiting)
+	var avoided []string
+	if avoid != "" {
+		avoided = strings.Split(avoid, "+")
+	}
+	need := NewNeed(lane, class, data.HasArg("isolated"), avoided).Queued(waiting, data.HasArg("patient"))
+	if data.HasArg("spare") {
+		need = need.Spare()
+	}
+	return need
+}
+
+func outcomeOf(t *testing.T, data *datadriven.TestData) Outcome {
+	t.Helper()
+	name := Answered.String()
+	data.MaybeScanArgs(t, "outcome", &name)
+	for outcome := Answered; outcome <= Unused; outcome++ {
+		if outcome.String() == name {
+			return outcome
+		}
+	}
+	t.Fatalf("unknown outcome %s", name)
+	return Unused
+}
+
+func duration(t *testing.T, data *datadriven.TestData, key string) time.Duration {
+	t.Helper()
+	text := "0s"
+	data.MaybeScanArgs(t, key, &text)
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
--- a/internal/router/update.go
+++ b/internal/router/update.go
@@ -43,10 +43,10 @@
 			own = home.Endpoints()
 		}
 	}
-	pool.own.SetEndpoints(own)
-	pool.everywhere.SetEndpoints(endpoints)
-	pool.own.SetDraining(draining)
-	pool.everywhere.SetDraining(draining)
+	pool.own.SetEndpoints(now, own)
+	pool.everywhere.SetEndpoints(now, endpoints)
+	pool.own.SetDraining(now, draining)
+	pool.everywhere.SetDraining(now, draining)
 	pool.pump(now)
 }
 
@@ -54,8 +54,8 @@
 func (pool *pool) setDraining(now time.Time, names []string) {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	pool.own.SetDraining(names)
-	pool.everywhere.SetDraining(names)
+	pool.own.SetDraining(now, names)
+	pool.everywhere.SetDraining(now, names)
 	pool.pump(now)
 }
 
