--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,8 +17,15 @@
 	"github.com/chivespool/chivespool/internal/definer"
 )
 
-// DefaultLongShare is the part of the slots that long work may hold.
-const DefaultLongShare = 0.5
+const (
+	// DefaultLongShare is the part of the slots that long work may hold while
+	// there is short work.
+	DefaultLongShare = 0.3
+	// peakHalfLife is how fast a peak of short work is forgotten, and
+	// peakMargin what is kept free over it.
+	peakHalfLife = 5 * time.Second
+	peakMargin   = 1.5
+)
 
 // Keeper holds the slots of a set of endpoints. The zero value has none.
 type Keeper struct {
@@ -32,6 +40,9 @@
 	endpoints []*endpoint
 	// long is the sum of the endpoints' long.
 	long int
+	// peak is the most slots that short work held lately, faded since peakAt.
+	peak   float64
+	peakAt time.Time
 	// started is true after the first SetEndpoints; endpoints that come later
 	// begin cold.
 	started bool
@@ -67,7 +78,7 @@
 
 // SetEndpoints replaces the set of endpoints, and keeps what is known of those
 // that stay. Endpoints that come after the first call begin cold.
-func (keeper *Keeper) SetEndpoints(definitions []definer.Endpoint) {
+func (keeper *Keeper) SetEndpoints(now time.Time, definitions []definer.Endpoint) {
 	before := make(map[string]*endpoint, len(keeper.endpoints))
 	for _, endpoint := range keeper.endpoints {
 		before[endpoint.Name()] = endpoint
@@ -88,29 +99,32 @@
 	for _, endpoint := range after {
 		keeper.long += endpoint.long
 	}
+	keeper.keepFloor(now)
 }
 
 // SetDraining names the endpoints that others say are draining, in place of
 // those named before.
-func (keeper *Keeper) SetDraining(names []string) {
+func (keeper *Keeper) SetDraining(now time.Time, names []string) {
 	for _, endpoint := range keeper.endpoints {
 		endpoint.told(slices.Contains(names, endpoint.Name()))
 	}
+	keeper.keepFloor(now)
 }
 
 // Len returns the number of endpoints.
 func (keeper *Keeper) Len() int { return len(keeper.endpoints) }
 
-// Usable reports whether any endpoint takes new work, now or when a slot frees.
+// Usable reports whether any endpoint takes new work, now or when a slot frees
+// or a pause ends.
 func (keeper *Keeper) Usable(now time.Time) bool {
-	return slices.ContainsFunc(keeper.endpoints, func(endpoint *endpoint) bool { return endpoint.usable(now) })
+	return slices.ContainsFunc(keeper.endpoints, func(endpoint *endpoint) bool { return endpoint.serves(now) })
 }
 
 // Slots returns how many requests the endpoints that take work may run at once.
 func (keeper *Keeper) Slots(now time.Time) int {
 	slots := 0
 	for _, endpoint := range keeper.endpoints {
-		if endpoint.usable(now) {
+		if endpoint.serves(now) {
 			slots += endpoint.limit()
 		}
 	}
@@ -120,15 +134,31 @@
 // LongRunning returns how many slots long work holds.
 func (keeper *Keeper) LongRunning() int { return keeper.long }
 
-// LongCap returns how many slots long work may hold: its share, never the last
-// slot, but always one.
+// LongCap returns how many slots long work may hold: its share, or what short
+// work left free lately where that is more; never the last slot, but always
+// one.
 func (keeper *Keeper) LongCap(now time.Time) int {
 	share := keeper.longShare
 	if share == 0 {
 		share = DefaultLongShare
 	}
 	slots := keeper.Slots(now)
-	return max(1, min(int(share*float64(slots)), slots-1))
+	left := float64(slots) - peakMargin*keeper.fadedPeak(now)
+	return max(1, min(int(max(share*float64(slots), left)), slots-1))
+}
+
+func (keeper *Keeper) fadedPeak(now time.Time) float64 {
+	return keeper.peak * math.Exp2(-float64(now.Sub(keeper.peakAt))/float64(peakHalfLife))
+}
+
+// notePeak takes in how many slots short work holds now.
+func (keeper *Keeper) notePeak(now time.Time) {
+	short := -keeper.long
+	for _, endpoint := range keeper.endpoints {
+		short += len(endpoint.running)
+	}
+	keeper.peak = max(float64(short), keeper.fadedPeak(now))
+	keeper.peakAt = now
 }
 
 // Take takes a slot for need, or returns nil where need should wait.
@@ -144,6 +174,8 @@
 	endpoint.add(ticket)
 	if need.lane == definer.Long {
 		keeper.long++
+	} else {
+		keeper.notePeak(now)
 	}
 	return ticket
 }
@@ -160,7 +192,8 @@
 	if result.outcome == Answered {
 		keeper.Observe(ticket.need, result.runTime)
 	}
-	endpoint.learn(now, result, ratio, keeper.halfLife(), keeper.mayEject(now))
+	endpoint.learn(now, result, ratio, keeper.halfLife())
+	keeper.keepFloor(now)
 }
 
 // holds reports whether endpoint is still in the set.
@@ -168,13 +201,27 @@
 	return slices.Contains(keeper.endpoints, endpoint)
 }
 
-// mayEject reports whether one more ejection leaves at least half in use.
-func (keeper *Keeper) mayEject(now time.Time) bool {
-	ejected := 0
-	for _, endpoint := range keeper.endpoints {
-		if endpoint.ejected(now) {
-			ejected++
+// keepFloor ends ejections, the oldest first, until at least half of the
+// endpoints that do not drain are in use. It leaves them marked as slow.
+func (keeper *Keeper) keepFloor(now time.Time) {
+	for {
+		inUse, ejected := 0, 0
+		var first *endpoint
+		for _, endpoint := range keeper.endpoints {
+			switch {
+			case endpoint.Drained() || endpoint.draining(now):
+			case !endpoint.ejected(now):
+				inUse++
+			default:
+				ejected++
+				if first == nil || endpoint.ejectedUntil.Before(first.ejectedUntil) {
+					first = endpoint
+				}
+			}
+		}
+		if ejected <= inUse {
+			return
 		}
+		first.readmit(now, keeper.halfLife())
 	}
-	return 2*(ejected+1) <= len(keeper.endpoints)
 }
