--- a/cmd/chivesbench/load.go
+++ b/cmd/chivesbench/load.go
@@ -38,6 +38,12 @@
 		&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "how long requests are sent"},
 		&cli.DurationFlag{Name: "warmup", Usage: "time at the start that is not measured"},
 		&cli.FloatFlag{Name: "rate", Value: 200, Usage: "requests a second"},
+		&cli.IntFlag{Name: "slots", Usage: "slots of all endpoints; sets the rate to --load of their capacity"},
+		&cli.FloatFlag{Name: "load", Value: 1, Usage: "share of the capacity of --slots"},
+		&cli.FloatFlag{Name: "slow-share", Usage: "share of the time that endpoints are slow, for the capacity"},
+		&cli.FloatFlag{Name: "slow-factor", Value: 4, Usage: "how many times longer work is then"},
+		&cli.StringFlag{Name: "policy", Usage: "name of the way of routing, for compare"},
+		&cli.StringFlag{Name: "scene", Usage: "name of the load, for compare"},
 		&cli.FloatFlag{Name: "swing-low", Value: 0.3, Usage: "factor on the rate in the trough of a swing"},
 		&cli.FloatFlag{Name: "swing-high", Value: 1.5, Usage: "factor on the rate at the crest of a swing"},
 		&cli.DurationFlag{Name: "swing", Usage: "time from trough to trough; 0 for a steady rate"},
@@ -79,7 +85,9 @@
 
 func planOf(command *cli.Command) (generator.Plan, error) {
 	places, err := placesOf(command.StringSlice("place"))
-	return generator.Plan{
+	plan := generator.Plan{
+		Policy:          command.String("policy"),
+		Scene:           command.String("scene"),
 		Label:           command.String("label"),
 		Seed:            command.Uint64("seed"),
 		DurationMs:      inMilliseconds(command.Duration("duration")),
@@ -103,7 +111,12 @@
 		LongTimeoutMs:   inMilliseconds(command.Duration("long-timeout")),
 		Resends:         command.Int("resends"),
 		Faults:          command.Bool("faults"),
-	}, err
+	}
+	if slots := command.Int("slots"); slots > 0 {
+		plan.Capacity = plan.CapacityOf(slots, command.Float("slow-share"), command.Float("slow-factor"))
+		plan.Rate = command.Float("load") * plan.Capacity
+	}
+	return plan, err
 }
 
 func placesOf(texts []string) ([]generator.Place, error) {
--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -23,6 +23,7 @@
 			hostListCommand(),
 			backendCommand(),
 			loadCommand(),
+			compareCommand(),
 			callCommand(),
 			awaitCommand(),
 		},
--- a/internal/generator/plan.go
+++ b/internal/generator/plan.go
@@ -12,6 +12,9 @@
 type Plan struct {
 	Label string `json:"label"`
 	Seed  uint64 `json:"seed"`
+	// Policy and Scene say what is compared: the way of routing, and the load.
+	Policy string `json:"policy,omitempty"`
+	Scene  string `json:"scene,omitempty"`
 	// DurationMs is how long requests are sent; those that come in the first
 	// WarmupMs are checked, but not measured.
 	DurationMs float64 `json:"duration-ms"`
@@ -22,12 +25,15 @@
 	SwingLow  float64 `json:"swing-low"`
 	SwingHigh float64 `json:"swing-high"`
 	SwingMs   float64 `json:"swing-ms"`
+	// Capacity is what the backend servers can do, in requests a second; 0
+	// where it is not known.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Services share the requests evenly, and Callers at Places send them.
 	Services []string `json:"services"`
 	Callers  int      `json:"callers"`
 	Places   []Place  `json:"places"`
-	// ShortMs and LongMs are mean run times, which are exponential; LongShare
-	// of all requests are long.
+	// ShortMs and LongMs are mean run times, which are spread evenly from half
+	// to one and a half of the mean; LongShare of all requests are long.
 	ShortMs   float64 `json:"short-ms"`
 	LongMs    float64 `json:"long-ms"`
 	LongShare float64 `json:"long-share"`
@@ -115,7 +121,7 @@
 	if work.sort == sortLong {
 		mean = plan.LongMs
 	}
-	work.run = milliseconds(mean * schedule.random.ExpFloat64())
+	work.run = milliseconds(mean * (0.5 + schedule.random.Float64()))
 	return work, true
 }
 
@@ -162,6 +168,14 @@
 	return plan.Rate * factor
 }
 
+// CapacityOf returns how many requests a second of the plan slots can run
+// without a pause. Over a share of the time, slowShare, they run slowFactor
+// times as long.
+func (plan Plan) CapacityOf(slots int, slowShare, slowFactor float64) float64 {
+	mean := plan.LongShare*plan.LongMs + (1-plan.LongShare)*plan.ShortMs
+	return float64(slots) * 1000 / mean * (1 - slowShare + slowShare/slowFactor)
+}
+
 // milliseconds returns a duration of value ms.
 func milliseconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
--- a/internal/generator/report.go
+++ b/internal/generator/report.go
@@ -11,10 +11,13 @@
 
 // Report is what came of a plan. Latencies are in milliseconds.
 type Report struct {
-	Plan   Plan        `json:"plan"`
-	TookMs float64     `json:"took-ms"`
-	Counts Counts      `json:"counts"`
+	Plan   Plan    `json:"plan"`
+	TookMs float64 `json:"took-ms"`
+	Counts Counts  `json:"counts"`
+	// Short is of short requests without a key; Keyed is of those with one,
+	// whose claim takes its time.
 	Short  Percentiles `json:"short"`
+	Keyed  Percentiles `json:"keyed"`
 	Long   Percentiles `json:"long"`
 	Crest  Crest       `json:"crest"`
 	Series []Point     `json:"series"`
@@ -155,6 +158,7 @@
 	fmt.Fprintf(writer, "  lost %d, cut %d, doubled %d, wrong %d, ran twice %d, refused as not run but run %d\n",
 		counts.Lost, counts.Cut, counts.Doubled, counts.Wrong, counts.RanTwice, counts.NotRunButRun)
 	report.Short.write(writer, "short")
+	report.Keyed.write(writer, "keyed")
 	report.Long.write(writer, "long")
 	if report.Crest.Seconds > 0 {
 		fmt.Fprintf(writer, "  crest: offered %.0f, answered %.0f, refused %.0f a second\n",
--- a/internal/generator/tally.go
+++ b/internal/generator/tally.go
@@ -23,6 +23,7 @@
 	// mu guards all fields below.
 	mu     sync.Mutex
 	short  *hdrhistogram.Histogram
+	keyed  *hdrhistogram.Histogram
 	long   *hdrhistogram.Histogram
 	counts Counts
 	series []moment
@@ -35,7 +36,8 @@
 	offered  int
 	answered int
 	refused  int
-	// shorts holds the latencies of short requests that came in this step.
+	// shorts holds the latencies of short requests without a key that came in
+	// this step.
 	shorts []time.Duration
 }
 
@@ -43,6 +45,7 @@
 	return &tally{
 		plan:    plan,
 		short:   hdrhistogram.New(1, highestMicroseconds, significantDigits),
+		keyed:   hdrhistogram.New(1, highestMicroseconds, significantDigits),
 		long:    hdrhistogram.New(1, highestMicroseconds, significantDigits),
 		counts:  Counts{Refusals: make(map[string]int)},
 		results: make(map[string]result),
@@ -60,7 +63,10 @@
 		return
 	}
 	histogram := tally.short
-	if result.work.sort == sortLong {
+	switch result.work.sort {
+	case sortKeyed:
+		histogram = tally.keyed
+	case sortLong:
 		histogram = tally.long
 	}
 	_ = histogram.RecordValue(min(result.took.Microseconds(), highestMicroseconds))
@@ -113,7 +119,7 @@
 func (tally *tally) place(result result) {
 	came := tally.at(result.work.at)
 	came.offered++
-	if result.end == endAnswered && result.work.sort != sortLong {
+	if result.end == endAnswered && (result.work.sort == sortRead || result.work.sort == sortPost) {
 		came.shorts = append(came.shorts, result.took)
 	}
 	switch done := tally.at(result.done); result.end {
@@ -142,6 +148,7 @@
 		TookMs:  float64(took) / float64(time.Millisecond),
 		Counts:  tally.counts,
 		Short:   percentiles(tally.short),
+		Keyed:   percentiles(tally.keyed),
 		Long:    percentiles(tally.long),
 		results: tally.results,
 	}
