--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -18,6 +18,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
 	if err := command().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "chivespoold:", err)
 		klog.Flush()
@@ -48,7 +49,11 @@
 	if err != nil {
 		return err
 	}
-	return runner.New(settings).Run(ctx)
+	daemon, err := runner.New(settings)
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
 }
 
 func check(_ context.Context, command *cli.Command) error {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -82,7 +82,7 @@
 func (daemon *Daemon) nearPeer() (definer.Host, bool) {
 	var near []definer.Host
 	best := 0
-	for _, host := range daemon.members.Hosts() {
+	for _, host := range daemon.monitor.Hosts() {
 		if host.Name() == daemon.self.Name() || host.State() != definer.Live {
 			continue
 		}
@@ -118,7 +118,7 @@
 // Live returns the names of the live hosts.
 func (claimants *claimants) Live() []string {
 	var names []string
-	for _, host := range claimants.daemon.members.Hosts() {
+	for _, host := range claimants.daemon.monitor.Hosts() {
 		if host.State() == definer.Live {
 			names = append(names, host.Name())
 		}
@@ -153,7 +153,7 @@
 	announce := &encoder.SuspectAnnounce{Suspect: list}
 	request := &encoder.Request{Body: &encoder.Request_SuspectAnnounce{SuspectAnnounce: announce}}
 	var errs []error
-	for _, host := range daemon.members.Hosts() {
+	for _, host := range daemon.monitor.Hosts() {
 		if host.Name() == daemon.self.Name() || host.State() != definer.Live {
 			continue
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,7 +6,7 @@
 //	links      messenger, lender
 //	fleet      monitor
 //	platform   follower, claimer, quarantiner
-//	routing    updater
+//	routing    updater, pusher
 //	front      acceptor, usher
 //
 // The usher stops first: it tells the peers that the host leaves and waits
@@ -23,6 +23,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/chivespool/chivespool/internal/acceptor"
+	"github.com/chivespool/chivespool/internal/administrator"
 	"github.com/chivespool/chivespool/internal/claimer"
 	"github.com/chivespool/chivespool/internal/connector"
 	"github.com/chivespool/chivespool/internal/definer"
@@ -31,12 +32,14 @@
 	"github.com/chivespool/chivespool/internal/keeper"
 	"github.com/chivespool/chivespool/internal/lender"
 	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/monitor"
 	"github.com/chivespool/chivespool/internal/quarantiner"
 	"github.com/chivespool/chivespool/internal/recorder"
 	"github.com/chivespool/chivespool/internal/reporter"
 	"github.com/chivespool/chivespool/internal/router"
 	"github.com/chivespool/chivespool/internal/sender"
 	"github.com/chivespool/chivespool/internal/setter"
+	"github.com/chivespool/chivespool/internal/submitter"
 	"github.com/chivespool/chivespool/internal/supervisor"
 )
 
@@ -53,7 +56,7 @@
 
 	messenger   *messenger.Messenger
 	lender      *lender.Lender
-	members     *members
+	monitor     *monitor.Monitor
 	follower    *follower.Follower
 	claimer     *claimer.Claimer
 	quarantiner *quarantiner.Quarantiner
@@ -66,8 +69,9 @@
 	leaving atomic.Bool
 }
 
-// New returns a daemon with all parts made and joined; nothing runs yet.
-func New(settings *setter.Settings) *Daemon {
+// New returns a daemon with all parts made and joined; nothing runs yet. It
+// fails where the keys of the peer links can't be read.
+func New(settings *setter.Settings) (*Daemon, error) {
 	daemon := &Daemon{
 		settings: settings,
 		self:     settings.Host(uint64(time.Now().UnixNano())),
@@ -76,10 +80,12 @@
 	}
 	daemon.recorder.SetProcess(settings.Name())
 	daemon.makePlatform()
-	daemon.makeLinks()
+	if err := daemon.makeLinks(); err != nil {
+		return nil, err
+	}
 	daemon.makeRouting()
 	daemon.makeFront()
-	return daemon
+	return daemon, nil
 }
 
 func (daemon *Daemon) makePlatform() {
@@ -102,14 +108,30 @@
 	daemon.quarantiner.SetAnnouncer(&announcer{daemon: daemon})
 }
 
-func (daemon *Daemon) makeLinks() {
+func (daemon *Daemon) makeLinks() error {
+	settings := daemon.settings
 	daemon.messenger = &messenger.Messenger{}
 	daemon.messenger.SetSelf(daemon.self)
 	daemon.messenger.SetNetwork(&messenger.TCP{})
 	daemon.messenger.SetRecorder(daemon.recorder)
 	daemon.messenger.Handle(&peerHandler{daemon: daemon})
 	daemon.lender = lender.New(daemon.messenger)
-	daemon.members = newMembers(daemon.self, daemon.hostList)
+	daemon.monitor = &monitor.Monitor{}
+	daemon.monitor.SetSelf(daemon.self)
+	daemon.monitor.SetExchanger(daemon.messenger)
+	daemon.monitor.SetHostList(daemon.hostList)
+	daemon.monitor.SetRecorder(daemon.recorder)
+	daemon.messenger.HandleDigests(daemon.monitor)
+	daemon.messenger.OnDown(daemon.monitor.Doubt)
+	if settings.PeerKey() == "" {
+		return nil
+	}
+	credentials, err := messenger.NewCredentials(settings.PeerKey(), settings.PeerCertificate(), settings.PeerAuthority())
+	if err != nil {
+		return fmt.Errorf("secure the links to peers: %w", err)
+	}
+	daemon.messenger.SetCredentials(credentials)
+	return nil
 }
 
 func (daemon *Daemon) makeRouting() {
@@ -142,6 +164,15 @@
 	daemon.acceptor.SetLeaveBound(settings.LeaveBound())
 	daemon.reporter = reporter.New(daemon.self, daemon.registry, daemon)
 	daemon.reporter.Register(daemon.acceptor.Group(""))
+	view := &view{daemon: daemon}
+	committee := submitter.New(daemon.store, daemon.follower, settings.BootstrapKey())
+	administrator.New(
+		daemon.follower, committee,
+		administrator.WithLocator(view),
+		administrator.WithReporter(view),
+		administrator.WithTimeLine(daemon.recorder),
+		administrator.WithBootstrapKey(settings.BootstrapKey()),
+	).Register(daemon.acceptor.Group(""))
 }
 
 // Run runs the daemon until ctx is done, then stops it gracefully.
@@ -164,11 +195,12 @@
 	var links, fleet, platform, routing, front, root supervisor.Tree
 	links.Add("messenger", daemon.messenger)
 	links.Add("lender", daemon.lender)
-	fleet.Add("members", daemon.members)
+	fleet.Add("monitor", daemon.monitor)
 	platform.Add("follower", daemon.follower)
 	platform.Add("claimer", daemon.claimer)
 	platform.Add("quarantiner", daemon.quarantiner)
 	routing.Add("updater", &updater{daemon: daemon})
+	routing.Add("pusher", &pusher{daemon: daemon})
 	front.Add("acceptor", daemon.acceptor)
 	front.Add("usher", &usher{daemon: daemon})
 	root.Add("links", &links)
--- a/internal/runner/updater.go
+++ b/internal/runner/updater.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -20,7 +19,7 @@
 func (updater *updater) Run(ctx context.Context) error {
 	for {
 		configured := updater.daemon.follower.Changed()
-		moved := updater.daemon.members.Changed()
+		moved := updater.daemon.monitor.Changed()
 		updater.update()
 		select {
 		case <-ctx.Done():
@@ -33,11 +32,15 @@
 
 func (updater *updater) update() {
 	daemon := updater.daemon
-	hosts := daemon.members.Hosts()
-	daemon.messenger.SetPeers(hosts)
-	daemon.router.Update(daemon.follower.Current(), daemon.self, hosts)
-	daemon.router.SetDraining(daemon.members.Draining())
-	daemon.follower.SetWatcher(daemon.members.Watcher())
+	daemon.router.Update(daemon.follower.Current(), daemon.self, daemon.monitor.Hosts())
+	daemon.router.SetDraining(daemon.monitor.Draining())
+	daemon.follower.SetWatcher(daemon.isWatcher())
+}
+
+// isWatcher reports whether this host watches the store for its data centre.
+func (daemon *Daemon) isWatcher() bool {
+	watcher, ok := daemon.monitor.Watcher(daemon.self.Place())
+	return !ok || watcher.Name() == daemon.self.Name()
 }
 
 // usher makes a planned stop graceful: it says that the host leaves, and holds
@@ -53,8 +56,12 @@
 	klog.InfoS("leaves", "host", daemon.self.Name(), "hold", daemon.settings.HoldTime())
 	daemon.recorder.Record(recorder.KindProcess, daemon.self.Name(), "leaves")
 	daemon.leaving.Store(true)
-	daemon.members.Leave()
-	time.Sleep(daemon.settings.HoldTime())
+	hold, cancel := context.WithTimeout(context.Background(), daemon.settings.HoldTime())
+	defer cancel()
+	if err := daemon.monitor.Leave(hold); err != nil {
+		klog.ErrorS(err, "peers may go on naming this host for a while")
+	}
+	<-hold.Done()
 	return nil
 }
 
@@ -66,5 +73,5 @@
 // Locate returns the entry hosts for service, nearest first.
 func (placer *placer) Locate(service string, place definer.Place, seed string) (locator.Answer, bool) {
 	daemon := placer.daemon
-	return locator.Locate(daemon.follower.Current(), daemon.members.Hosts(), service, place, seed)
+	return locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
 }
--- /dev/null
+++ b/internal/runner/view.go
@@ -0,0 +1,138 @@
+package runner
+
+import (
+	"fmt"
+
+	"github.com/chivespool/chivespool/internal/administrator"
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/keeper"
+	"github.com/chivespool/chivespool/internal/locator"
+)
+
+// view shows operators what this host knows.
+type view struct {
+	daemon *Daemon
+}
+
+// Hosts returns the entry hosts that are not gone.
+func (view *view) Hosts() []definer.Host { return view.daemon.monitor.Hosts() }
+
+// Status returns the state of this host at a glance.
+func (view *view) Status() []administrator.Fact {
+	daemon := view.daemon
+	facts := []administrator.Fact{
+		administrator.NewFact("host", daemon.self.Name()),
+		administrator.NewFact("place", daemon.self.Place().String()),
+		administrator.NewFact("revision", fmt.Sprint(daemon.follower.Current().Revision())),
+		administrator.NewFact("watches-store", fmt.Sprint(daemon.isWatcher())),
+		administrator.NewFact("store-calls", daemon.storeCalls()),
+	}
+	for _, hindrance := range daemon.Hindrances() {
+		facts = append(facts, administrator.NewFact("alarm", hindrance))
+	}
+	for _, host := range daemon.monitor.Members() {
+		facts = append(facts, administrator.NewFact("host-"+host.Name(), host.Place().String()+" "+host.State().String()))
+	}
+	status := daemon.router.Status()
+	for _, pool := range status.Pools() {
+		facts = append(facts, administrator.NewFact("pool-"+pool.Name(), poolText(pool)))
+	}
+	for _, region := range status.Regions() {
+		text := fmt.Sprintf("%d calls, %d bytes", region.Calls(), region.Bytes())
+		facts = append(facts, administrator.NewFact("between-"+region.From()+"-and-"+region.To(), text))
+	}
+	return facts
+}
+
+func (daemon *Daemon) storeCalls() string {
+	calls := daemon.store.Calls()
+	return fmt.Sprintf("%d reads, %d writes, %d watches, %d errors",
+		calls.Reads(), calls.Writes(), calls.Watches(), calls.Errors())
+}
+
+// poolCounts is what the status shows of one pool.
+type poolCounts interface {
+	Endpoints() []keeper.EndpointStatus
+	Homes() []string
+	Queued(lane definer.Lane) int
+	Granted() uint64
+	Borrowed() uint64
+	Lent() uint64
+	Refused() uint64
+}
+
+func poolText(pool poolCounts) string {
+	return fmt.Sprintf("%d endpoints here, %d other homes, queue %d short %d long, %d granted, %d borrowed, %d lent, %d refused",
+		len(pool.Endpoints()), len(pool.Homes()), pool.Queued(definer.Short), pool.Queued(definer.Long),
+		pool.Granted(), pool.Borrowed(), pool.Lent(), pool.Refused())
+}
+
+// Where returns the endpoints of a service in region (all where it is empty),
+// with their homes. Only the home of an endpoint knows its slots.
+func (view *view) Where(service, region string) ([]administrator.Destination, error) {
+	configuration := view.daemon.follower.Current()
+	found, ok := configuration.Service(service)
+	if !ok {
+		return nil, fmt.Errorf("no service %q; ask: services", service)
+	}
+	known := view.known(found.Pool())
+	var destinations []administrator.Destination
+	for _, home := range locator.Homes(configuration, view.daemon.monitor.Hosts(), found.Pool()) {
+		for _, endpoint := range home.Endpoints() {
+			if region != "" && endpoint.Place().Region() != region {
+				continue
+			}
+			state, inFlight, slots := "ask-its-home", 0, endpoint.Slots()
+			if status, ok := known[endpoint.Name()]; ok {
+				state, inFlight, slots = status.State(), status.InFlight(), status.Limit()
+			}
+			destinations = append(destinations,
+				administrator.NewDestination(endpoint.Name(), home.Host().Name(), state, inFlight, slots))
+		}
+	}
+	return destinations, nil
+}
+
+// known returns the endpoints of pool that this host is the home of.
+func (view *view) known(pool string) map[string]keeper.EndpointStatus {
+	known := make(map[string]keeper.EndpointStatus)
+	for _, status := range view.daemon.router.Status().Pools() {
+		if status.Name() != pool {
+			continue
+		}
+		for _, endpoint := range status.Endpoints() {
+			known[endpoint.Endpoint().Name()] = endpoint
+		}
+	}
+	return known
+}
+
+// Why returns why an endpoint gets work or none.
+func (view *view) Why(name string) ([]string, error) {
+	configuration := view.daemon.follower.Current()
+	endpoint, ok := configuration.Endpoint(name)
+	if !ok {
+		return nil, fmt.Errorf("no endpoint %q; ask: endpoints", name)
+	}
+	var reasons []string
+	if endpoint.Drained() {
+		reasons = append(reasons, "operators drained it; command: restore "+name)
+	}
+	for _, leaving := range view.daemon.monitor.Draining() {
+		if leaving == name {
+			reasons = append(reasons, "the host list says that it leaves")
+		}
+	}
+	for _, home := range locator.Homes(configuration, view.daemon.monitor.Hosts(), endpoint.Pool()) {
+		for _, held := range home.Endpoints() {
+			if held.Name() == name {
+				reasons = append(reasons, fmt.Sprintf("its home is %s at %s", home.Host().Name(), home.Host().Address()))
+			}
+		}
+	}
+	if status, ok := view.known(endpoint.Pool())[name]; ok {
+		reasons = append(reasons, fmt.Sprintf("it is %s, with %d of %d slots taken, and %.1f times as slow as expected",
+			status.State(), status.InFlight(), status.Limit(), status.Slowness()))
+	}
+	return reasons, nil
+}
--- a/internal/runner/world_test.go
+++ b/internal/runner/world_test.go
@@ -123,7 +123,10 @@
 	if err != nil {
 		world.t.Fatal(err)
 	}
-	daemon := New(settings)
+	daemon, err := New(settings)
+	if err != nil {
+		world.t.Fatal(err)
+	}
 	daemon.acceptor.SetListener(callers)
 	daemon.messenger.SetNetwork(&boundNetwork{listener: peers})
 	if err := daemon.hostList.Put(world.t.Context(), daemon.self); err != nil {
--- a/internal/setter/check.go
+++ b/internal/setter/check.go
@@ -1,6 +1,8 @@
 package setter
 
 import (
+	"crypto/ed25519"
+	"encoding/base64"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -33,6 +35,17 @@
 	}
 }
 
+func publicKey(field func(*Settings) *ed25519.PublicKey) check {
+	return func(settings *Settings, value string) error {
+		key, err := base64.StdEncoding.DecodeString(value)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return errRefused
+		}
+		*field(settings) = key
+		return nil
+	}
+}
+
 func name(field func(*Settings) *string) check {
 	return func(settings *Settings, value string) error {
 		if !namePattern.MatchString(value) {
--- a/internal/setter/settings.go
+++ b/internal/setter/settings.go
@@ -1,6 +1,7 @@
 package setter
 
 import (
+	"crypto/ed25519"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
@@ -41,7 +42,7 @@
 	peerCertificate    string
 	peerKey            string
 	peerAuthority      string
-	bootstrapKey       string
+	bootstrapKey       ed25519.PublicKey
 	logVerbosity       int
 	heartbeatInterval  time.Duration
 	configurationCheck time.Duration
@@ -139,8 +140,8 @@
 // PeerAuthority is the file of the authority that signs peers, or empty.
 func (settings *Settings) PeerAuthority() string { return settings.peerAuthority }
 
-// BootstrapKey is the public key that may found the first committee, or empty.
-func (settings *Settings) BootstrapKey() string { return settings.bootstrapKey }
+// BootstrapKey is the public key that may found the first committee, or nil.
+func (settings *Settings) BootstrapKey() ed25519.PublicKey { return settings.bootstrapKey }
 
 // LogVerbosity is klog's verbosity.
 func (settings *Settings) LogVerbosity() int { return settings.logVerbosity }
--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -1,6 +1,9 @@
 package setter
 
-import "time"
+import (
+	"crypto/ed25519"
+	"time"
+)
 
 // table is the one home of all settings, in the order of their page.
 var table = []setting{
@@ -117,7 +120,7 @@
 		set: number(1024, 1<<20, func(settings *Settings) *int { return &settings.answerHeadBytes }),
 	},
 	{
-		section: "claims", key: "shards", fallback: "16", allowed: "a number from 1 to 1024",
+		section: "claims", key: "shards", fallback: "4", allowed: "a number from 1 to 1024",
 		doc: "How many shards the claims on Idempotency-Keys are split over; alike on all hosts.",
 		set: number(1, 1024, func(settings *Settings) *int { return &settings.claimShards }),
 	},
@@ -159,7 +162,7 @@
 	{
 		section: "operators", key: "bootstrap-key", allowed: "a public key as chivesctl keygen prints it",
 		doc: "Who may found the first committee while no configuration was ever accepted.",
-		set: anything(func(settings *Settings) *string { return &settings.bootstrapKey }),
+		set: publicKey(func(settings *Settings) *ed25519.PublicKey { return &settings.bootstrapKey }),
 	},
 	{
 		section: "leaving", key: "bound", fallback: "1m", allowed: "a time from 1s to 1h",
