--- a/internal/locator/locate.go
+++ b/internal/locator/locate.go
@@ -17,6 +17,12 @@
 // Addresses returns the addresses to use, best first.
 func (answer Answer) Addresses() []string { return answer.addresses }
 
+// WithHold returns a copy that the caller may keep for hold.
+func (answer Answer) WithHold(hold time.Duration) Answer {
+	answer.hold = hold
+	return answer
+}
+
 // Hold returns how long the caller may keep the answer.
 func (answer Answer) Hold() time.Duration { return answer.hold }
 
--- a/internal/runner/updater.go
+++ b/internal/runner/updater.go
@@ -73,5 +73,6 @@
 // Locate returns the entry hosts for service, nearest first.
 func (placer *placer) Locate(service string, place definer.Place, seed string) (locator.Answer, bool) {
 	daemon := placer.daemon
-	return locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
+	answer, ok := locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
+	return answer.WithHold(daemon.settings.HoldTime()), ok
 }
