--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
-	"github.com/chivespool/chivespool/internal/keeper"
 )
 
 // pump gives free slots to those who wait, until no more can be given.
