--- a/internal/emulator/answer.go
+++ b/internal/emulator/answer.go
@@ -63,11 +63,12 @@
 		answer.trailer = nil
 		return
 	}
-	chunk := make([]byte, 0, answerChunkBytes+8)
-	for len(chunk) < answerChunkBytes && int64(len(chunk)) < answer.left {
+	size := min(answerChunkBytes, answer.left)
+	chunk := make([]byte, 0, size+8)
+	for int64(len(chunk)) < size {
 		chunk = binary.LittleEndian.AppendUint64(chunk, answer.next())
 	}
-	answer.pending = chunk[:min(int64(len(chunk)), answer.left)]
+	answer.pending = chunk[:size]
 	answer.left -= int64(len(answer.pending))
 }
 
@@ -102,8 +103,10 @@
 // Check reads body to its end and compares it with answer, which it uses up.
 // The error is that of reading body, if any; the verdict then is Cut or Wrong.
 func Check(answer *Answer, body io.Reader) (Verdict, error) {
-	got := make([]byte, answerChunkBytes)
-	want := make([]byte, answerChunkBytes)
+	// A whole answer that fits is read at once, with room for a byte too many.
+	size := min(answerChunkBytes, answer.length+1)
+	got := make([]byte, size)
+	want := make([]byte, size)
 	for {
 		count, err := body.Read(got)
 		expected, _ := io.ReadFull(answer, want[:count])
