--- a/internal/messenger/stamp.go
+++ b/internal/messenger/stamp.go
@@ -53,14 +53,24 @@
 
 // record puts an event about a peer on the time line.
 func (messenger *Messenger) record(who, text string) {
-	if line := messenger.getRecorder(); line != nil {
+	if line := messenger.snapshot().recorder; line != nil {
 		line.Record(recorder.KindPeer, who, text)
 	}
 }
 
+// recordCredentials puts changes of the credentials on the time line.
+func (messenger *Messenger) recordCredentials(credentials *Credentials) {
+	if news := credentials.takeNews(); news != "" {
+		messenger.record("credentials", news)
+	}
+}
+
+// maxSkew bounds how far ahead of this host's clock a peer's stamp may be.
+const maxSkew = time.Hour
+
 // stamp returns the time to send along with a message.
 func (messenger *Messenger) stamp() *encoder.Stamp {
-	line := messenger.getRecorder()
+	line := messenger.snapshot().recorder
 	if line == nil {
 		return nil
 	}
@@ -70,13 +80,7 @@
 
 // observe takes in the time of a message received.
 func (messenger *Messenger) observe(stamp *encoder.Stamp) {
-	if line := messenger.getRecorder(); line != nil && stamp != nil {
+	if line := messenger.snapshot().recorder; line != nil && stamp.GetWall() < time.Now().Add(maxSkew).UnixNano() {
 		line.Observe(recorder.NewStamp(stamp.GetWall(), stamp.GetCounter()))
 	}
 }
-
-func (messenger *Messenger) getRecorder() Recorder {
-	messenger.mu.Lock()
-	defer messenger.mu.Unlock()
-	return messenger.recorder
-}
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -70,7 +70,7 @@
 
 // Error says what is known and how to go on.
 func (submitError *SubmitError) Error() string {
-	remedy := "it had no effect; send it again when the store answers"
+	remedy := "nothing changed; send it again when the store answers"
 	if submitError.kind == NotKnown {
 		remedy = fmt.Sprintf("ask again with: outcome %s; sending it again with the same id never applies it twice", submitError.id)
 	}
@@ -138,8 +138,8 @@
 	if err != nil {
 		return arbiter.Outcome{}, err
 	}
+	submission.tell(loaded.state)
 	if outcome, ok := loaded.state.Outcome(submission.command.ID()); ok {
-		submission.tell(loaded.state)
 		return outcome, nil
 	}
 	if loaded.version > submission.version {
@@ -183,12 +183,11 @@
 // tell puts the state's configuration in force on this host. A host that is
 // further already stays there.
 func (submitter *Submitter) tell(state arbiter.State) {
-	update := encoder.NewUpdate(nil, state.Steps())
-	if submitter.configurations.Current().Revision() < state.Base() {
-		update = encoder.NewUpdate(state.Configuration(), nil)
+	if err := submitter.configurations.Adopt(encoder.NewUpdate(nil, state.Steps())); err == nil {
+		return
 	}
-	// A failure leaves it to the follower, which learns of the write anyhow.
-	_ = submitter.configurations.Adopt(update)
+	// A whole configuration follows on any history, so this can't fail.
+	_ = submitter.configurations.Adopt(encoder.NewUpdate(state.Configuration(), nil))
 }
 
 func isKind(err error, kind connector.ErrorKind) bool {
