lender: no slot is lost when a borrower gives up

Cause: a trial with real processes showed 2 of an idle home's 4 slots taken for good, and its endpoint slow by their age: a borrower that gave up while its question was under way never learned of the loan, and the home held the slot until the link went down. Ruled out: telling the home by a second call, which may come before the loan is noted. The default byte budget between regions is the router's own, 256 KB/s: 5 KB/s left out payloads.

--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -15,9 +15,16 @@
 	"github.com/chivespool/chivespool/internal/router"
 )
 
-// giveBackTimeout bounds how long a home may take to take back a loan. A loan
-// that can't be given back ends when the home sees the borrower's link go down.
-const giveBackTimeout = 5 * time.Second
+const (
+	// wantWait is how long a spare want waits at a home before it is renewed.
+	wantWait = 100 * time.Millisecond
+	// replyTimeout bounds how late after its wait a home may answer.
+	replyTimeout = 5 * time.Second
+	// giveBackTimeout bounds how long a home may take to take back a loan. A
+	// loan that can't be given back ends when the home sees the borrower's
+	// link go down.
+	giveBackTimeout = 5 * time.Second
+)
 
 // Caller calls other entry hosts, as package messenger does.
 type Caller interface {
@@ -57,9 +64,32 @@
 // Borrow asks home for a slot, and waits there as long as ctx allows. A
 // *refuser.Refusal is the home's own answer; any other error means that the
 // home is out of reach.
+//
+// A question that is under way is never given up, since its answer may carry
+// a slot that would be lost: after the end of ctx, Borrow may still return a
+// loan, up to wantWait later for a spare want.
 func (lender *Lender) Borrow(ctx context.Context, home string, want router.Want) (router.Loan, error) {
-	request := &encoder.Request{Body: &encoder.Request_Borrow{Borrow: encodeWant(ctx, want)}}
-	reply, err := lender.caller.Call(ctx, home, request)
+	for {
+		loan, err := lender.ask(ctx, home, want)
+		if err == nil || !want.Spare() || !waitedInVain(err) {
+			return loan, err
+		}
+		if ctx.Err() != nil {
+			return router.Loan{}, ctx.Err()
+		}
+	}
+}
+
+// ask asks home once.
+func (lender *Lender) ask(ctx context.Context, home string, want router.Want) (router.Loan, error) {
+	wait := wantWait
+	if end, ok := ctx.Deadline(); ok && !want.Spare() {
+		wait = max(time.Until(end), time.Millisecond)
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait+replyTimeout)
+	defer cancel()
+	request := &encoder.Request{Body: &encoder.Request_Borrow{Borrow: encodeWant(want, wait)}}
+	reply, err := lender.caller.Call(bounded, home, request)
 	if err != nil {
 		return router.Loan{}, borrowError(err)
 	}
@@ -70,6 +100,12 @@
 	return router.NewLoan(loan.GetId(), loan.GetEndpoint()), nil
 }
 
+// waitedInVain reports whether err says that no slot came free in time.
+func waitedInVain(err error) bool {
+	var refusal *refuser.Refusal
+	return errors.As(err, &refusal) && refusal.Kind() == refuser.KindDeadline
+}
+
 // borrowError returns the refusal that a home answered, or err.
 func borrowError(err error) error {
 	var callError *messenger.CallError
@@ -142,18 +178,17 @@
 	return &encoder.Reply{Body: &encoder.Reply_GiveBack{GiveBack: &encoder.GiveBackReply{}}}
 }
 
-func encodeWant(ctx context.Context, want router.Want) *encoder.BorrowRequest {
+// encodeWant returns the message of a want that may wait at the home for wait.
+func encodeWant(want router.Want, wait time.Duration) *encoder.BorrowRequest {
 	request := want.Request()
 	message := &encoder.BorrowRequest{
 		Pool: request.Pool(), Lane: encoder.Lane(request.Lane()), Priority: int32(request.Priority()),
 		Isolated: request.Isolated(), Avoid: request.Avoid(), Spare: want.Spare(),
+		WaitMilliseconds: max(wait.Milliseconds(), 1),
 	}
 	if deadline := request.Deadline(); !deadline.IsZero() {
 		message.DeadlineMilliseconds = max(time.Until(deadline).Milliseconds(), 1)
 	}
-	if end, ok := ctx.Deadline(); ok {
-		message.WaitMilliseconds = max(time.Until(end).Milliseconds(), 1)
-	}
 	return message
 }
 
--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -105,8 +105,8 @@
 		set: share(0, 1, func(settings *Settings) *float64 { return &settings.retryShare }),
 	},
 	{
-		section: "routing", key: "region-bytes", fallback: "5000", allowed: "a number from 0 to 100000000",
-		doc: "Bytes a second that this host may spend on loans to and from other regions.",
+		section: "routing", key: "region-bytes", fallback: "262144", allowed: "a number from 0 to 100000000",
+		doc: "Bytes a second that loans from each other region may cost, with what they carry.",
 		set: number(0, 100000000, func(settings *Settings) *int { return &settings.regionBytesPerSec }),
 	},
 	{
