router: leave a want standing when its need ends, so that no granted slot is lost

Cause: the want was cancelled when the queue emptied. A grant that was under way then found nobody to read it over the peer link, and the home kept the slot taken until the loan ran out after five minutes.

--- a/internal/router/borrowing.go
+++ b/internal/router/borrowing.go
@@ -26,23 +26,21 @@
 	lane definer.Lane
 }
 
-// borrowing keeps one want at one home while requests wait here.
+// borrowing keeps one want at one home while requests wait here. A want is not
+// taken back when the need ends: its grant may be under way by then, and a
+// grant that nobody reads is a slot lost. It comes back unused instead.
 type borrowing struct {
 	pool *pool
 	home *otherHome
 	lane definer.Lane
-	// cancel takes the want back; guarded by the pool's mu.
+	// ctx ends when the router closes; cancel ends it.
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 // borrow starts a borrowing for each lane in which requests wait and each home
-// that may help, and takes back the wants of lanes in which none waits.
+// that may help.
 func (pool *pool) borrow(now time.Time) {
-	for key, borrowing := range pool.borrowings {
-		if pool.queue.counts[key.lane] == 0 {
-			borrowing.cancel()
-		}
-	}
 	if pool.queue.len() == 0 || pool.closed || pool.baseline() || !pool.router.canBorrow() {
 		return
 	}
@@ -78,7 +76,8 @@
 	if pool.borrowings == nil {
 		pool.borrowings = make(map[borrowKey]*borrowing)
 	}
-	borrowing := &borrowing{pool: pool, home: home, lane: lane, cancel: func() {}}
+	borrowing := &borrowing{pool: pool, home: home, lane: lane}
+	borrowing.ctx, borrowing.cancel = context.WithCancel(context.Background())
 	pool.borrowings[key] = borrowing
 	pool.router.tasks.Add(1)
 	go borrowing.run()
@@ -88,40 +87,37 @@
 func (borrowing *borrowing) run() {
 	pool := borrowing.pool
 	defer pool.router.tasks.Done()
+	defer borrowing.cancel()
 	for {
-		ctx, want, ok := borrowing.next()
+		want, ok := borrowing.next()
 		if !ok {
 			return
 		}
-		lender := pool.router.currentLender()
 		pool.router.meter.count(borrowing.home.region, wantBytes)
-		loan, err := lender.Borrow(ctx, borrowing.home.name, want)
-		if err != nil && ctx.Err() == nil {
+		loan, err := pool.router.currentLender().Borrow(borrowing.ctx, borrowing.home.name, want)
+		if err != nil {
 			borrowing.fail(time.Now())
 			return
 		}
-		if err == nil && !borrowing.use(time.Now(), loan) {
+		if !borrowing.use(time.Now(), loan) {
 			pool.router.giveBack(pool, borrowing.home.name, loan, NewResult(Unused, 0))
 		}
 	}
 }
 
 // next returns the next want, or false where the borrowing ends.
-func (borrowing *borrowing) next() (context.Context, Want, bool) {
+func (borrowing *borrowing) next() (Want, bool) {
 	pool := borrowing.pool
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	borrowing.cancel()
 	head := pool.borrower(borrowing.lane)
 	if head == nil || pool.closed || !slices.Contains(pool.homes, borrowing.home) {
 		delete(pool.borrowings, borrowing.key())
-		return nil, Want{}, false
+		return Want{}, false
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	borrowing.cancel = cancel
 	request := head.request
 	request.lane = borrowing.lane
-	return ctx, NewWant(request, true), true
+	return NewWant(request, true), true
 }
 
 func (borrowing *borrowing) key() borrowKey {
@@ -133,7 +129,6 @@
 	pool := borrowing.pool
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
-	borrowing.cancel()
 	borrowing.home.down(now)
 	delete(pool.borrowings, borrowing.key())
 	pool.pump(now)
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -105,6 +105,10 @@
 	}
 	loan, err := link.routers[home].Lend(ctx, link.from, want)
 	time.Sleep(hopDelay)
+	if ctx.Err() != nil {
+		// As over a peer link, where nobody reads the reply any more.
+		return router.Loan{}, ctx.Err()
+	}
 	return loan, err
 }
 
