--- a/internal/locator/locate.go
+++ b/internal/locator/locate.go
@@ -23,6 +23,12 @@
 	return answer
 }
 
+// WithMost returns a copy with the best addresses, at most most.
+func (answer Answer) WithMost(most int) Answer {
+	answer.addresses = answer.addresses[:min(most, len(answer.addresses))]
+	return answer
+}
+
 // Hold returns how long the caller may keep the answer.
 func (answer Answer) Hold() time.Duration { return answer.hold }
 
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -147,19 +147,37 @@
 	daemon *Daemon
 }
 
-// Announce returns once every live host has heard, or with the first failure.
+// Announce returns once every live host has heard, with the failures of those
+// that did not.
 func (announcer *announcer) Announce(ctx context.Context, list []byte) error {
 	daemon := announcer.daemon
 	announce := &encoder.SuspectAnnounce{Suspect: list}
 	request := &encoder.Request{Body: &encoder.Request_SuspectAnnounce{SuspectAnnounce: announce}}
-	var errs []error
+	var told []*announcement
 	for _, host := range daemon.monitor.Hosts() {
 		if host.Name() == daemon.self.Name() || host.State() != definer.Live {
 			continue
 		}
-		if _, err := daemon.messenger.Call(ctx, host.Name(), request); err != nil {
-			errs = append(errs, err)
-		}
+		announcement := &announcement{daemon: daemon, host: host.Name(), done: make(chan error, 1)}
+		told = append(told, announcement)
+		go announcement.run(ctx, request)
+	}
+	var errs []error
+	for _, announcement := range told {
+		errs = append(errs, <-announcement.done)
 	}
 	return errors.Join(errs...)
 }
+
+// announcement tells one host.
+type announcement struct {
+	daemon *Daemon
+	host   string
+	// done gets the one result; it has room for it.
+	done chan error
+}
+
+func (announcement *announcement) run(ctx context.Context, request *encoder.Request) {
+	_, err := announcement.daemon.messenger.Call(ctx, announcement.host, request)
+	announcement.done <- err
+}
--- a/internal/runner/updater.go
+++ b/internal/runner/updater.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// mostAddresses bounds the entry hosts that a caller is told of.
+const mostAddresses = 8
+
 // placer tells callers where to go.
 type placer struct {
 	daemon *Daemon
@@ -74,5 +77,5 @@
 func (placer *placer) Locate(service string, place definer.Place, seed string) (locator.Answer, bool) {
 	daemon := placer.daemon
 	answer, ok := locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
-	return answer.WithHold(daemon.settings.HoldTime()), ok
+	return answer.WithHold(daemon.settings.HoldTime()).WithMost(mostAddresses), ok
 }
