scripts: make demo, the whole system on loopback with every answer checked

Starts the stand-ins, four entry hosts in two regions and three services, has three operators set them up through chivesctl, and sends a mixed load while an endpoint is drained, another turns slow and an entry host stops.

Each process gets a process group of its own: with Ctrl-C going to all of them, the script's own signal to stop was their second one, which ends an entry host at once and not gracefully. A bare return in a trap has the status from before the trap, so every process seemed to have failed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate
+.PHONY: build test lint format generate demo bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -11,6 +11,14 @@
 test:
 	go test ./...
 
+# demo runs the whole system on loopback for some seconds and checks every answer.
+demo:
+	scripts/demo.sh
+
+# bench compares ways of routing side by side, in under 10 minutes; it writes out/bench.json.
+bench:
+	scripts/bench.sh
+
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -26,6 +26,7 @@
 			compareCommand(),
 			callCommand(),
 			awaitCommand(),
+			endpointsCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -31,11 +31,15 @@
   return 1
 }
 
-# start runs the command $2... as a process called $1.
+# start runs the command $2... as a process called $1. It gets a process group
+# of its own, so that Ctrl-C reaches the script alone, which then stops all in
+# order; a process takes a second signal as an order to end at once.
 start() {
   local name=$1
   shift
-  "$@" >>"$run/$name.log" 2>&1 &
+  set -m
+  "$@" >>"$run/$name.log" 2>&1 </dev/null &
+  set +m
   names+=("$name")
   pids+=($!)
 }
@@ -83,8 +87,9 @@
   local pid=$1 tick
   for tick in $(seq 300); do
     if ! kill -0 "$pid" 2>/dev/null; then
-      wait "$pid"
-      return
+      # A bare return in a trap has the status from before the trap.
+      wait "$pid" && return 0
+      return 1
     fi
     sleep 0.1
   done
@@ -113,6 +118,7 @@
   trap - EXIT
   stop_all
   if [ "$code" -eq 0 ]; then code=$status; fi
+  if [ "$code" -eq 0 ]; then rm -rf "$run"; fi
   exit "$code"
 }
 
@@ -155,3 +161,46 @@
     '{"address":"127.0.0.1:%d","peer-address":"127.0.0.1:%d","region":"%s","data-centre":"%s","incarnation":1,"state":"live"}' \
     "$port" $((port + 1)) "$region" "$centre")" >/dev/null
 }
+
+# make_keys makes keys for the operators $1...; the first is the chair, whose
+# key founds the committee.
+make_keys() {
+  local name
+  operators=("$@")
+  for name in "$@"; do
+    $operate keygen --out "$run/$name.key" >"$run/$name.public"
+  done
+  bootstrap_key=$(tail -n 1 "$run/$1.public")
+}
+
+# operate_as runs chivesctl for operator $1 at the entry host $entry.
+operate_as() {
+  local name=$1
+  shift
+  $operate --entry "$entry" --operator "$name" --key "$run/$name.key" "$@"
+}
+
+# found makes the committee of all operators.
+found() {
+  local name members=()
+  for name in "${operators[@]:1}"; do
+    members+=(--member "$name=$(tail -n 1 "$run/$name.public")")
+  done
+  operate_as "${operators[0]}" bootstrap "${members[@]}"
+}
+
+# pool_statement prints the changes that create service $1 on a pool of $2
+# endpoints from port $3 on, spread over the places in $4... (region/centre).
+# Reads are repeatable, other requests aren't, and /long is long work.
+pool_statement() {
+  local service=$1 count=$2 port=$3 index place
+  shift 3
+  local places=("$@")
+  printf 'create pool %s, create service %s pool %s' "$service" "$service" "$service"
+  for index in $(seq "$count"); do
+    place=${places[$(((index - 1) % ${#places[@]}))]}
+    printf ', create endpoint %s-%d pool %s address 127.0.0.1:%d region %s data-centre %s slots 4' \
+      "$service" "$index" "$service" $((port + index - 1)) "${place%/*}" "${place#*/}"
+  done
+  printf ', create rule %s-long service %s method GET path /long repeatable yes lane long' "$service" "$service"
+}
