--- a/internal/administrator/world_test.go
+++ b/internal/administrator/world_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/chivespool/chivespool/internal/administrator"
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/encoder"
 	"github.com/chivespool/chivespool/internal/follower"
 	"github.com/chivespool/chivespool/internal/presenter"
 	"github.com/chivespool/chivespool/internal/recorder"
@@ -147,6 +148,13 @@
 	fakeStore.changed = make(chan struct{})
 }
 
+// current returns the bytes of the head.
+func (fakeStore *fakeStore) current() []byte {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	return fakeStore.entries[encoder.HeadKey].Data()
+}
+
 // set changes faults.
 func (fakeStore *fakeStore) set(change func()) {
 	fakeStore.mu.Lock()
