scripts: make bench, policies side by side over loads and seeds

Each policy has its own platform, entry hosts and backend servers, and all run under the same load at the same time, so that what else the machine does falls on all alike.

--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,106 @@
+#!/usr/bin/env bash
+# Compares ways of routing side by side: each policy has its own platform,
+# entry hosts and backend servers, all policies run at the same time under the
+# same load, at 50, 75 and 90% of capacity and through a swing of 0.3 to 1.5
+# times capacity, for several seeds. Prints a table and writes out/bench.json,
+# a plot for each scene, and each load's report under out/bench/.
+set -euo pipefail
+source "$(dirname "$0")/processes.sh"
+
+policies=${POLICIES:-"random two-choices stale-report slots"}
+seeds=${SEEDS:-"1 2 3"}
+scenes=${SCENES:-"load-50 load-75 load-90 swing"}
+seconds=${SECONDS_EACH:-20}
+entries_each=${ENTRIES:-4}
+out=${OUT:-out}
+
+# One service of 12 endpoints with 4 slots. Short work takes 50 ms and one
+# request in 100 takes 30 times as long. Endpoints turn 4 times slower for
+# 500 ms at a mean distance of 5 s. Work is this slow so that all policies fit
+# on one machine at the same time.
+endpoints=12
+work=(--short 50ms --long 1500ms --long-share 0.01 --post-share 0.1 --timeout 2s --long-timeout 30s)
+spells=(--slow-every 5s --slow-for 500ms --slow-factor 4)
+slow_share=$(awk 'BEGIN {print 0.5 / 5.5}')
+# The endpoints queue for as long as a request lives, as a policy without a
+# queue of its own needs.
+queue=(--queue 100 --queue-wait 2s)
+ports_each=60
+
+# start_policy starts all processes of policy $1 from port $2 on.
+start_policy() {
+  local policy=$1 port=$2 seed=$3 count=$entries_each index file
+  local setting=$policy
+  if [ "$policy" = one-queue ]; then
+    # One entry host is the one home of all endpoints: a perfect queue.
+    count=1 setting=slots
+  fi
+  store=127.0.0.1:$port
+  hosts=127.0.0.1:$((port + 1))
+  start "store-$policy" $bench store --listen "$store"
+  start "host-list-$policy" $bench host-list --listen "$hosts"
+  start "backend-$policy" $bench backend --admin 127.0.0.1:$((port + 2)) --seed "$seed" \
+    --count $endpoints --name tile --first 127.0.0.1:$((port + 10)) "${queue[@]}" "${spells[@]}"
+  $bench await "$store" "$hosts" 127.0.0.1:$((port + 2))
+  for index in $(seq "$count"); do
+    file=$(settings "$policy-$index" nairobi nairobi-a $((port + 28 + 2 * index)) <<<"[routing]
+policy = $setting
+[callers]
+hold-time = 500ms
+[operators]
+bootstrap-key = $bootstrap_key")
+    list_host "$policy-$index" nairobi nairobi-a $((port + 28 + 2 * index))
+    start "entry-$policy-$index" $daemon --settings "$file"
+  done
+  entry=127.0.0.1:$((port + 30))
+  $bench await "$entry"
+  found >/dev/null
+  operate_as amina "propose $(pool_statement tile $endpoints $((port + 10)) nairobi/nairobi-a)" >/dev/null
+}
+
+# load_policy sends the scene $3 to policy $1.
+load_policy() {
+  local policy=$1 port=$2 scene=$3 seed=$4 load swing=0s
+  case $scene in
+    load-*) load=$(awk "BEGIN {print ${scene#load-} / 100}") ;;
+    swing) load=1 swing=5s ;;
+  esac
+  start "load-$policy-$scene" $bench load --entry 127.0.0.1:$((port + 30)) \
+    --journal http://127.0.0.1:$((port + 2)) --service tile \
+    --label "$policy-$scene-$seed" --policy "$policy" --scene "$scene" --seed "$seed" \
+    --slots $((4 * endpoints)) --load "$load" --swing "$swing" --slow-share "$slow_share" --slow-factor 4 \
+    --duration "${seconds}s" --warmup 3s "${work[@]}" --out "$out/bench"
+}
+
+make -s build
+guard
+mkdir -p "$out/bench"
+rm -f "$out"/bench/*
+# shellcheck disable=SC2086
+set -- $policies
+free_base $((ports_each * $#))
+make_keys amina
+first=$base
+for seed in $seeds; do
+  port=$first
+  for policy in $policies; do
+    start_policy "$policy" "$port" "$seed"
+    port=$((port + ports_each))
+  done
+  for scene in $scenes; do
+    port=$first
+    started=()
+    for policy in $policies; do
+      load_policy "$policy" "$port" "$scene" "$seed"
+      started+=("load-$policy-$scene")
+      port=$((port + ports_each))
+    done
+    for name in "${started[@]}"; do
+      wait "$(pid_of "$name")" || echo "seed $seed, $name: $(tail -n 1 "$run/$name.log")" >&2
+      forget "$(pid_of "$name")"
+    done
+    echo "seed $seed, $scene: done" >&2
+  done
+  stop_all
+done
+$bench compare --out "$out" "$out"/bench/*.json
