--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench
+.PHONY: build test lint format generate demo bench large-bodies
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,6 +15,10 @@
 demo:
 	scripts/demo.sh
 
+# large-bodies sends bodies of 200 MB and bounds the daemon's memory.
+large-bodies:
+	scripts/large-bodies.sh
+
 # bench compares ways of routing side by side, in under 10 minutes; it writes out/bench.json.
 bench:
 	scripts/bench.sh
