--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies
+.PHONY: build test lint format generate demo bench large-bodies capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -23,6 +23,10 @@
 bench:
 	scripts/bench.sh
 
+# capacity measures what an entry host costs, and prints slopes for docs/CAPACITY.md.
+capacity:
+	scripts/capacity.sh
+
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -27,6 +27,8 @@
 			callCommand(),
 			awaitCommand(),
 			endpointsCommand(),
+			sampleCommand(),
+			slopesCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
--- /dev/null
+++ b/internal/sampler/fit.go
@@ -0,0 +1,87 @@
+package sampler
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"text/tabwriter"
+)
+
+// Fit is a line through measurements, by least squares.
+type Fit struct {
+	Scene  string `json:"scene"`
+	Figure string `json:"figure"`
+	Points int    `json:"points"`
+	// Base is the value at x = 0, and Slope the rise for each x, with its
+	// standard error; the error is 0 with fewer than three points.
+	Base       float64 `json:"base"`
+	Slope      float64 `json:"slope"`
+	SlopeError float64 `json:"slope-error"`
+}
+
+// Fits returns a line for each figure of each scene.
+func Fits(samples []Sample) []Fit {
+	scenes := make(map[string][]Sample)
+	for _, sample := range samples {
+		scenes[sample.Scene] = append(scenes[sample.Scene], sample)
+	}
+	var fits []Fit
+	for _, scene := range slices.Sorted(maps.Keys(scenes)) {
+		figures := make(map[string]bool)
+		for _, sample := range scenes[scene] {
+			for name := range sample.Figures {
+				figures[name] = true
+			}
+		}
+		for _, figure := range slices.Sorted(maps.Keys(figures)) {
+			fits = append(fits, fit(scene, figure, scenes[scene]))
+		}
+	}
+	return fits
+}
+
+// fit fits one figure over the samples of a scene.
+func fit(scene, figure string, samples []Sample) Fit {
+	count := float64(len(samples))
+	var meanX, meanY float64
+	for _, sample := range samples {
+		meanX += sample.X / count
+		meanY += sample.Figures[figure] / count
+	}
+	var squares, products float64
+	for _, sample := range samples {
+		squares += (sample.X - meanX) * (sample.X - meanX)
+		products += (sample.X - meanX) * (sample.Figures[figure] - meanY)
+	}
+	fit := Fit{Scene: scene, Figure: figure, Points: len(samples), Base: meanY}
+	if squares == 0 {
+		return fit
+	}
+	fit.Slope = products / squares
+	fit.Base = meanY - fit.Slope*meanX
+	if count < 3 {
+		return fit
+	}
+	var residual float64
+	for _, sample := range samples {
+		miss := sample.Figures[figure] - fit.Base - fit.Slope*sample.X
+		residual += miss * miss
+	}
+	fit.SlopeError = math.Sqrt(residual / (count - 2) / squares)
+	return fit
+}
+
+// WriteFits writes fits as a table; figures that never changed are left out.
+func WriteFits(writer io.Writer, fits []Fit) error {
+	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "scene\tfigure\tpoints\tat 0\tslope\tstandard error")
+	for _, fit := range fits {
+		if fit.Base == 0 && fit.Slope == 0 {
+			continue
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%.4g\t%.4g\t%.2g\n", fit.Scene, fit.Figure, fit.Points, fit.Base, fit.Slope, fit.SlopeError)
+	}
+	return table.Flush()
+}
