--- a/internal/parser/edit.go
+++ b/internal/parser/edit.go
@@ -82,7 +82,10 @@
 func (edit Edit) check(configuration *definer.Configuration) error {
 	exists := configuration.Has(edit.object)
 	if edit.verb == create && exists {
-		remedy := fmt.Sprintf("change it with: alter %s, or choose another name", edit.object)
+		remedy := "choose another name"
+		if len(attributesOf[edit.object.Kind()]) > 0 {
+			remedy = fmt.Sprintf("change it with: alter %s, or choose another name", edit.object)
+		}
 		return definer.NewChangeError(definer.InUse, edit.object, "exists already", remedy)
 	}
 	if edit.verb == alter && !exists {
--- /dev/null
+++ b/internal/parser/parser_test.go
@@ -0,0 +1,96 @@
+package parser
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+func TestLanguage(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			switch data.Cmd {
+			case "parse":
+				return parse(data.Input)
+			case "complete":
+				// The bar ends the text, so that spaces at its end are seen.
+				text := strings.TrimSuffix(data.Input, "|")
+				return strings.Join(Complete(text, names{}), " ") + "\n"
+			}
+			data.Fatalf(t, "unknown command %s", data.Cmd)
+			return ""
+		})
+	})
+}
+
+// names gives one name of each kind.
+type names struct{}
+
+func (names) List(value string) []string { return []string{"a-" + strings.ToLower(value)} }
+
+func parse(text string) string {
+	statements, err := Parse(text)
+	var syntaxError *SyntaxError
+	if errors.As(err, &syntaxError) {
+		return syntaxError.Picture() + "\n"
+	}
+	var output strings.Builder
+	for _, statement := range statements {
+		fmt.Fprintf(&output, "%T %s\n", statement.Body(), statement.Text())
+		if propose, ok := statement.Body().(Propose); ok {
+			output.WriteString(changes(propose))
+		}
+	}
+	return output.String()
+}
+
+// changes resolves a proposal against a configuration with one of each.
+func changes(propose Propose) string {
+	endpoint := definer.NewEndpoint("e", "p", "10.0.0.1:80", definer.NewPlace("coast", "c1"), 4)
+	configuration := new(definer.Configuration).WithPool("p").WithService(definer.NewService("s", "p")).
+		WithEndpoint(endpoint.WithDrained(true)).WithRule(definer.NewRule("r", "s", "GET", "/a"))
+	var output strings.Builder
+	for _, edit := range propose.Edits() {
+		change, err := edit.Change(configuration)
+		if err != nil {
+			fmt.Fprintf(&output, "  %v\n", err)
+			continue
+		}
+		fmt.Fprintf(&output, "  %s %+v%+v%+v\n", change, change.Service(), change.Endpoint(), change.Rule())
+	}
+	return output.String()
+}
+
+// FuzzParse looks for texts that break the parser, and checks that what it
+// takes reads the same again, and that its errors point into the text.
+func FuzzParse(f *testing.F) {
+	for _, form := range Forms("") {
+		f.Add(form.String())
+	}
+	f.Add("propose create pool p, drain endpoint \"e 1\" against 12; status # c\n\n;vote yes on x")
+	f.Add("\"\n\xff, ;")
+	f.Fuzz(func(t *testing.T, text string) {
+		statements, err := Parse(text)
+		var syntaxError *SyntaxError
+		if errors.As(err, &syntaxError) {
+			_ = syntaxError.Picture()
+			if syntaxError.Line() < 1 || syntaxError.Line() > 1+strings.Count(text, "\n") {
+				t.Fatalf("line %d of %q", syntaxError.Line(), text)
+			}
+		} else if err != nil {
+			t.Fatalf("%T is not a SyntaxError", err)
+		}
+		for _, statement := range statements {
+			again, err := ParseOne(statement.Text())
+			if err != nil || fmt.Sprintf("%T", again.Body()) != fmt.Sprintf("%T", statement.Body()) {
+				t.Fatalf("%q reads as %T: %v", statement.Text(), again.Body(), err)
+			}
+		}
+		_ = Complete(text, nil)
+	})
+}
--- a/internal/parser/statement.go
+++ b/internal/parser/statement.go
@@ -13,7 +13,7 @@
 	body Body
 }
 
-// Text returns the statement as it was written, without comments around it.
+// Text returns the statement as it was written. It reads the same again.
 func (statement Statement) Text() string { return statement.text }
 
 // Body returns what the statement says.
