router, setter: long-share 0.3; two hosts that both think themselves home; a loan ends after a minute

setter is another's package: only the default and the text of long-share change, since the daemon set 0.5 over the router's 0.3. What short work leaves idle is open to long work at either.

--- a/internal/keeper/policy.go
+++ b/internal/keeper/policy.go
@@ -61,7 +61,8 @@
 // candidates returns the endpoints that could run need now, those nearest to
 // need's place. An endpoint to avoid is left out while there is another.
 func (keeper *Keeper) candidates(now time.Time, need Need) []*endpoint {
-	var wanted, avoided []*endpoint
+	var avoided []*endpoint
+	wanted := make([]*endpoint, 0, len(keeper.endpoints))
 	others := false
 	for _, endpoint := range keeper.endpoints {
 		if !endpoint.usable(now) {
--- a/internal/router/lend.go
+++ b/internal/router/lend.go
@@ -19,7 +19,7 @@
 const (
 	// loanTime bounds a loan whose return got lost. A slot that comes back
 	// too early is over-filled for a while, which costs time only.
-	loanTime = 5 * time.Minute
+	loanTime = time.Minute
 	// sweepInterval is how often overdue loans are looked for.
 	sweepInterval = 10 * time.Second
 )
--- a/internal/router/policy_test.go
+++ b/internal/router/policy_test.go
@@ -146,3 +146,52 @@
 		})
 	}
 }
+
+// TestTwoHomes lets two hosts that can't see each other both be the home of
+// all endpoints: slots are over-filled, which costs time and no request.
+func TestTwoHomes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		configuration, hosts := region(2, 1, modelEndpoints)
+		fleet := newFleet(configuration, hosts)
+		defer fleet.close()
+		fleet.cut.Store(true)
+		random := rand.New(rand.NewPCG(1, 1))
+		for _, endpoint := range configuration.Endpoints() {
+			fleet.backends[endpoint.Name()] = newBackend(random, spellGap, spellLength, 20*time.Second, spellFactor)
+		}
+		for _, host := range hosts {
+			fleet.routers[host.Name()].Update(configuration, host, []definer.Host{host})
+		}
+		result := workload{
+			seed: 1, rate: load(0.8, longEvery), length: 6 * time.Second, warm: time.Second,
+			mean: modelMean, longEvery: longEvery, longTimes: longTimes,
+		}.run(func(job job) bool { return fleet.serve(hosts[job.index%2].Name(), job) })
+		t.Logf("short p99 %.1f ms, long p99 %.1f ms, refused %d of %d",
+			result.p(definer.Short, 99), result.p(definer.Long, 99), result.refused, result.offered)
+		if result.refused > 0 {
+			t.Errorf("%d of %d requests were refused", result.refused, result.offered)
+		}
+	})
+}
+
+// BenchmarkAcquire takes and gives back slots of a pool of 16 endpoints.
+func BenchmarkAcquire(b *testing.B) {
+	configuration, hosts := region(1, 1, 16)
+	fleet := newFleet(configuration, hosts)
+	defer fleet.close()
+	home := fleet.routers[hosts[0].Name()]
+	request := router.NewRequest(modelPool, router.WithClass("reads"))
+	answered := router.NewResult(router.Answered, modelMean)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			slot, err := home.Acquire(b.Context(), request)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			slot.Release(answered)
+		}
+	})
+}
--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -90,8 +90,8 @@
 		set: number(1, 100000, func(settings *Settings) *int { return &settings.queueLength }),
 	},
 	{
-		section: "routing", key: "long-share", fallback: "0.5", allowed: "a share from 0.05 to 0.95",
-		doc: "The share of a pool's slots that long work may hold; never the last slot.",
+		section: "routing", key: "long-share", fallback: "0.3", allowed: "a share from 0.05 to 0.95",
+		doc: "The share of a pool's slots that long work may hold while there is short work; never the last slot.",
 		set: share(0.05, 0.95, func(settings *Settings) *float64 { return &settings.longShare }),
 	},
 	{
