--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -41,8 +41,8 @@
 )
 
 // String returns the kind in kebab case.
-func (kind ErrorKind) String() string {
-	return [...]string{"unknown", "unavailable", "conflict", "unchanged", "too-large"}[kind]
+func (errorKind ErrorKind) String() string {
+	return [...]string{"unknown", "unavailable", "conflict", "unchanged", "too-large"}[errorKind]
 }
 
 // Error is a failed call to the platform.
--- a/internal/definer/host.go
+++ b/internal/definer/host.go
@@ -12,8 +12,8 @@
 )
 
 // String returns the state in lower case.
-func (state HostState) String() string {
-	return [...]string{"live", "suspect", "leaving", "gone"}[state]
+func (hostState HostState) String() string {
+	return [...]string{"live", "suspect", "leaving", "gone"}[hostState]
 }
 
 // Host is an entry host as the members of the fleet see it.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -39,15 +39,15 @@
 }
 
 // Child returns the name of the child that failed.
-func (err *RestartError) Child() string { return err.child }
+func (restartError *RestartError) Child() string { return restartError.child }
 
 // Unwrap returns the child's last failure.
-func (err *RestartError) Unwrap() error { return err.cause }
+func (restartError *RestartError) Unwrap() error { return restartError.cause }
 
 // Error names the child, how often it failed, and the remedy.
-func (err *RestartError) Error() string {
+func (restartError *RestartError) Error() string {
 	return fmt.Sprintf("%s failed %d times within %v; mend the cause and start the process again: %v",
-		err.child, err.count, RestartWindow, err.cause)
+		restartError.child, restartError.count, RestartWindow, restartError.cause)
 }
 
 // Tree supervises its children. The zero value is an empty tree that is ready
--- a/pkg/client/problem.go
+++ b/pkg/client/problem.go
@@ -45,15 +45,15 @@
 }
 
 // Address returns the entry host that the request was sent to.
-func (err *OutcomeUnknownError) Address() string { return err.address }
+func (outcomeUnknownError *OutcomeUnknownError) Address() string { return outcomeUnknownError.address }
 
 // Unwrap returns what went wrong.
-func (err *OutcomeUnknownError) Unwrap() error { return err.cause }
+func (outcomeUnknownError *OutcomeUnknownError) Unwrap() error { return outcomeUnknownError.cause }
 
 // Error names the entry host, the cause and the remedy.
-func (err *OutcomeUnknownError) Error() string {
+func (outcomeUnknownError *OutcomeUnknownError) Error() string {
 	return fmt.Sprintf("outcome unknown: the answer of %s did not arrive whole; "+
-		"look up whether the work took effect, or send it again with the same Idempotency-Key: %v", err.address, err.cause)
+		"look up whether the work took effect, or send it again with the same Idempotency-Key: %v", outcomeUnknownError.address, outcomeUnknownError.cause)
 }
 
 // UnreachableError says that no entry host took the request: it did not run.
@@ -63,13 +63,13 @@
 }
 
 // Service returns the name of the service asked for.
-func (err *UnreachableError) Service() string { return err.service }
+func (unreachableError *UnreachableError) Service() string { return unreachableError.service }
 
 // Unwrap returns the last failure.
-func (err *UnreachableError) Unwrap() error { return err.cause }
+func (unreachableError *UnreachableError) Unwrap() error { return unreachableError.cause }
 
 // Error names the service, the cause and the remedy.
-func (err *UnreachableError) Error() string {
+func (unreachableError *UnreachableError) Error() string {
 	return fmt.Sprintf("no entry host took the request for %s, it did not run; "+
-		"check the entry addresses and send it again: %v", err.service, err.cause)
+		"check the entry addresses and send it again: %v", unreachableError.service, unreachableError.cause)
 }
