--- a/cmd/chivesbench/platform.go
+++ b/cmd/chivesbench/platform.go
@@ -19,9 +19,17 @@
 	return &cli.Command{
 		Name:  "store",
 		Usage: "stand in for the platform's key-value store",
-		Flags: []cli.Flag{listenFlag("127.0.0.1:7901")},
+		Flags: []cli.Flag{
+			listenFlag("127.0.0.1:7901"),
+			&cli.StringFlag{Name: "log", Usage: "`FILE` that keeps all writes over a kill; without it they are lost"},
+		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			var store emulator.Store
+			if file := command.String("log"); file != "" {
+				if err := store.Keep(file); err != nil {
+					return err
+				}
+			}
 			return serve(ctx, "store", command.String("listen"), store.Handler())
 		},
 	}
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"os"
 	"sync"
 	"time"
 )
@@ -25,6 +26,8 @@
 	// faulted is closed, and replaced, when faults are set.
 	faulted chan struct{}
 	calls   StoreCalls
+	// log gets every write; nil where none is kept.
+	log *os.File
 }
 
 // value is what a key holds.
@@ -78,6 +81,7 @@
 		store.values = make(map[string]value)
 	}
 	store.values[key] = written
+	store.note(logEntry{Key: key, Version: written.version, Data: data})
 	store.announce(key)
 	return written, true
 }
@@ -91,6 +95,7 @@
 	}
 	store.revision++
 	delete(store.values, key)
+	store.note(logEntry{Key: key, Version: store.revision, Removed: true})
 	store.announce(key)
 	return true
 }
