--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies
+.PHONY: build test lint format generate demo bench large-bodies added
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,6 +15,10 @@
 demo:
 	scripts/demo.sh
 
+# added measures what an entry host adds to a call; on a machine at rest.
+added:
+	scripts/added.sh
+
 # large-bodies sends bodies of 200 MB and bounds the daemon's memory.
 large-bodies:
 	scripts/large-bodies.sh
--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -24,6 +24,7 @@
 			backendCommand(),
 			loadCommand(),
 			compareCommand(),
+			addedCommand(),
 			callCommand(),
 			awaitCommand(),
 			endpointsCommand(),
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -135,7 +135,7 @@
 start_platform() {
   store=127.0.0.1:$base
   hosts=127.0.0.1:$((base + 1))
-  start store $bench store --listen "$store"
+  start store $bench store --listen "$store" --log "$run/store.log.json"
   start host-list $bench host-list --listen "$hosts" "$@"
   $bench await "$store" "$hosts"
 }
