--- a/internal/administrator/world_test.go
+++ b/internal/administrator/world_test.go
@@ -47,8 +47,11 @@
 	reads            int
 	writes           int
 	watches          int
-	largest          int
-	saved            map[string]connector.Entry
+	// watched counts the bytes that watches returned, snapshots those written
+	// under the keys of base snapshots.
+	watched   int
+	snapshots int
+	saved     map[string]connector.Entry
 }
 
 const lateness = 2 * time.Second
@@ -99,7 +102,9 @@
 		return connector.Entry{}, connector.NewError(connector.Conflict, "write", nil)
 	}
 	fakeStore.version++
-	fakeStore.largest = max(fakeStore.largest, len(data))
+	if key != encoder.HeadKey {
+		fakeStore.snapshots += len(data)
+	}
 	fakeStore.entries[key] = connector.NewEntry(bytes.Clone(data), fakeStore.version)
 	close(fakeStore.changed)
 	fakeStore.changed = make(chan struct{})
@@ -123,6 +128,9 @@
 	for {
 		fakeStore.mu.Lock()
 		entry, changed, outage := fakeStore.entries[key], fakeStore.changed, fakeStore.outage
+		if !outage && entry.Version() > version {
+			fakeStore.watched += len(entry.Data())
+		}
 		fakeStore.mu.Unlock()
 		if outage {
 			return connector.Entry{}, connector.NewError(connector.Unavailable, "watch", nil)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -195,7 +195,12 @@
 		close(follower.changed)
 		follower.changed = nil
 	}
-	follower.record(fmt.Sprintf("revision %d is in force", next.Revision()))
+	text := fmt.Sprintf("revision %d is in force", next.Revision())
+	if last := len(follower.kept) - 1; last >= 0 {
+		origin := follower.kept[last].Origin()
+		text += fmt.Sprintf(", proposal %s by %s", origin.Proposal(), origin.Author())
+	}
+	follower.record(text)
 }
 
 // take decodes and adopts an update of a peer. It fails where the update can't
--- a/internal/follower/run.go
+++ b/internal/follower/run.go
@@ -61,6 +61,8 @@
 		follower.poll(ctx, 0)
 	case watcher:
 		follower.watch(ctx)
+	case follower.Current().Revision() == 0:
+		follower.poll(ctx, jitter(retryPause))
 	default:
 		follower.poll(ctx, jitter(PollInterval))
 	}
--- a/internal/signer/signer.go
+++ b/internal/signer/signer.go
@@ -116,6 +116,9 @@
 
 // ReadKey reads the private key that WriteKey wrote.
 func ReadKey(path string) (ed25519.PrivateKey, error) {
+	if path == "" {
+		return nil, fmt.Errorf("there is no key; give --key FILE, or make one with chivesctl keygen")
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read the key; make one with chivesctl keygen: %w", err)
