scripts: make kill, a process of each kind killed under load

kill -9 of the store, the host list, a process of backend servers and two entry hosts in turn, each started again after a second: the configuration stays in force at every entry host, no request that must not repeat runs twice, no answer is cut, doubled or wrong, and all of the next requests are answered. The journals of what ran are kept in files, since a killed process loses its memory.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies capacity added
+.PHONY: build test lint format generate demo bench large-bodies capacity added kill
 
 build:
 	go build -o bin/ ./cmd/...
@@ -31,6 +31,10 @@
 capacity:
 	scripts/capacity.sh
 
+# kill kills a process of each kind under load and checks what must hold.
+kill:
+	scripts/kill.sh
+
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
--- a/cmd/chivesbench/backend.go
+++ b/cmd/chivesbench/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -25,6 +26,7 @@
 			&cli.IntFlag{Name: "count", Usage: "endpoints NAME-1, NAME-2 and so on, on consecutive ports"},
 			&cli.StringFlag{Name: "name", Value: "endpoint", Usage: "name of the endpoints of --count"},
 			&cli.StringFlag{Name: "first", Value: "127.0.0.1:8001", Usage: "IP:port of the first endpoint of --count"},
+			&cli.StringFlag{Name: "journal", Usage: "file that keeps the journal over a kill of the process"},
 			&cli.DurationFlag{Name: "drain", Value: time.Second, Usage: "how long a stop refuses requests before it closes"},
 			&cli.IntFlag{Name: "slots", Value: defaults.Slots, Usage: "requests that run at once"},
 			&cli.IntFlag{Name: "queue", Value: defaults.Queue, Usage: "requests that may wait for a slot"},
@@ -57,6 +59,18 @@
 	if err != nil {
 		return err
 	}
+	if path := command.String("journal"); path != "" {
+		// Each line is one write to a file that only grows, so that lines of
+		// several endpoints don't mix and a kill loses none.
+		journal, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o644)
+		if err != nil {
+			return fmt.Errorf("--journal: %w", err)
+		}
+		defer func() { _ = journal.Close() }()
+		if err := park.KeepJournals(journal); err != nil {
+			return err
+		}
+	}
 	park.SetDrain(command.Duration("drain"))
 	tree.Add("admin", listener)
 	tree.Add("park", &park)
--- a/cmd/chivesbench/load.go
+++ b/cmd/chivesbench/load.go
@@ -27,6 +27,7 @@
 	return []cli.Flag{
 		&cli.StringSliceFlag{Name: "entry", Usage: "IP:port of an entry host; repeat for more", Required: true},
 		&cli.StringSliceFlag{Name: "journal", Usage: "base URL of a backend's admin address; repeat for more"},
+		&cli.BoolFlag{Name: "all-answered", Usage: "fail unless every request is answered"},
 		&cli.StringFlag{Name: "out", Usage: "folder for LABEL.json, LABEL.percentiles.svg and LABEL.series.svg"},
 	}
 }
@@ -80,6 +81,9 @@
 			return err
 		}
 	}
+	if counts := report.Counts; command.Bool("all-answered") && counts.Answered < counts.Sent {
+		return fmt.Errorf("%d of %d requests were not answered; see the kinds above", counts.Sent-counts.Answered, counts.Sent)
+	}
 	return report.Fault()
 }
 
--- a/internal/emulator/backend_test.go
+++ b/internal/emulator/backend_test.go
@@ -147,3 +147,22 @@
 		t.Fatalf("journal: %s", text)
 	}
 }
+
+func TestJournalOutlivesItsProcess(t *testing.T) {
+	var kept bytes.Buffer
+	var first Journal
+	first.Keep(&kept)
+	first.start("a")
+	first.start("b")
+	first.finish("b")
+	var second Journal
+	if err := second.Restore(&kept); err != nil {
+		t.Fatal(err)
+	}
+	second.start("a")
+	runs := make(map[string]Runs)
+	second.addTo(runs)
+	if runs["a"] != (Runs{Started: 2}) || runs["b"] != (Runs{Started: 1, Finished: 1}) {
+		t.Fatalf("got %v", runs)
+	}
+}
--- a/internal/emulator/park.go
+++ b/internal/emulator/park.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -18,6 +20,20 @@
 type Park struct {
 	backends map[string]*Backend
 	drain    time.Duration
+	// restored holds what earlier processes ran.
+	restored Journal
+}
+
+// KeepJournals writes what runs from now on to kept, and adds what earlier
+// processes wrote there.
+func (park *Park) KeepJournals(kept io.ReadWriter) error {
+	if err := park.restored.Restore(kept); err != nil {
+		return fmt.Errorf("read the journal of earlier processes: %w", err)
+	}
+	for _, backend := range park.backends {
+		backend.journal.Keep(kept)
+	}
+	return nil
 }
 
 // SetDrain sets for how long a stop refuses requests before connections close.
@@ -112,6 +128,7 @@
 // ?repeated=true only those that started more than once.
 func (park *Park) serveJournal(c echo.Context) error {
 	total := make(map[string]Runs)
+	park.restored.addTo(total)
 	for _, backend := range park.backends {
 		backend.journal.addTo(total)
 	}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -11,6 +11,7 @@
 
 names=()
 pids=()
+declare -A commands=()
 status=0
 
 # free_base finds a port from which on $1 ports are free, below those that the
@@ -42,8 +43,22 @@
   set +m
   names+=("$name")
   pids+=($!)
+  commands[$name]=$(printf '%q ' "$@")
 }
 
+# kill_process kills the process called $1 with no chance to clean up.
+kill_process() {
+  local pid
+  pid=$(pid_of "$1")
+  kill -KILL "$pid"
+  wait "$pid" 2>/dev/null || true
+  forget "$pid"
+}
+
+# restart starts a process called $1 again, with the command it had.
+restart() { eval "start $1 ${commands[$1]}"; }
+
+
 # pid_of prints the process id of the newest process called $1.
 pid_of() {
   local index found=
