--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -57,6 +58,10 @@
 	if err != nil {
 		return err
 	}
+	var level klog.Level
+	if err := level.Set(strconv.Itoa(settings.LogVerbosity())); err != nil {
+		return err
+	}
 	daemon, err := runner.New(settings)
 	if err != nil {
 		return err
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -120,6 +120,7 @@
 	daemon.monitor.SetSelf(daemon.self)
 	daemon.monitor.SetExchanger(daemon.messenger)
 	daemon.monitor.SetHostList(daemon.hostList)
+	daemon.monitor.SetSeeds(settings.PeerSeeds())
 	daemon.monitor.SetRecorder(daemon.recorder)
 	daemon.messenger.HandleDigests(daemon.monitor)
 	daemon.messenger.OnDown(daemon.monitor.Doubt)
--- a/internal/setter/check.go
+++ b/internal/setter/check.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // What the checks allow, as errors and the page say it.
@@ -67,6 +69,22 @@
 	}
 }
 
+func seeds(field func(*Settings) *[]definer.Host) check {
+	return func(settings *Settings, value string) error {
+		var hosts []definer.Host
+		for seed := range strings.SplitSeq(value, ",") {
+			name, address, _ := strings.Cut(strings.TrimSpace(seed), "=")
+			parsed, err := netip.ParseAddrPort(address)
+			if err != nil || parsed.Port() == 0 || !namePattern.MatchString(name) {
+				return errRefused
+			}
+			hosts = append(hosts, definer.NewHost(name, "", address, definer.Place{}, 0))
+		}
+		*field(settings) = hosts
+		return nil
+	}
+}
+
 func baseURL(field func(*Settings) *string) check {
 	return func(settings *Settings, value string) error {
 		parsed, err := url.Parse(value)
--- a/internal/setter/settings.go
+++ b/internal/setter/settings.go
@@ -32,20 +32,19 @@
 	connectTimeout  time.Duration
 	answerHeadBytes int
 
-	policy             string
-	holdTime           time.Duration
-	regionBytesPerSec  int
-	claimShards        int
-	claimRetention     time.Duration
-	claimMost          int
-	leaveBound         time.Duration
-	peerCertificate    string
-	peerKey            string
-	peerAuthority      string
-	bootstrapKey       ed25519.PublicKey
-	logVerbosity       int
-	heartbeatInterval  time.Duration
-	configurationCheck time.Duration
+	policy            string
+	holdTime          time.Duration
+	regionBytesPerSec int
+	claimShards       int
+	claimRetention    time.Duration
+	claimMost         int
+	leaveBound        time.Duration
+	peerCertificate   string
+	peerKey           string
+	peerAuthority     string
+	bootstrapKey      ed25519.PublicKey
+	logVerbosity      int
+	peerSeeds         []definer.Host
 }
 
 // Host returns the entry host that the settings describe, at an incarnation.
@@ -146,11 +145,9 @@
 // LogVerbosity is klog's verbosity.
 func (settings *Settings) LogVerbosity() int { return settings.logVerbosity }
 
-// HeartbeatInterval is the pause between two heartbeats.
-func (settings *Settings) HeartbeatInterval() time.Duration { return settings.heartbeatInterval }
-
-// ConfigurationCheck is the pause between two checks of the revision in force.
-func (settings *Settings) ConfigurationCheck() time.Duration { return settings.configurationCheck }
+// PeerSeeds returns hosts to learn the fleet from while the host list is out;
+// only their names and peer addresses are known.
+func (settings *Settings) PeerSeeds() []definer.Host { return settings.peerSeeds }
 
 // contradictions returns problems between settings that are right each alone.
 func (settings *Settings) contradictions() []*Problem {
--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/ed25519"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // table is the one home of all settings, in the order of their page.
@@ -135,14 +137,9 @@
 		set: number(100, 100000000, func(settings *Settings) *int { return &settings.claimMost }),
 	},
 	{
-		section: "configuration", key: "check", fallback: "2s", allowed: "a time from 100ms to 10s",
-		doc: "The pause between two checks with a peer of the revision in force.",
-		set: duration("100ms", "10s", func(settings *Settings) *time.Duration { return &settings.configurationCheck }),
-	},
-	{
-		section: "peers", key: "heartbeat", fallback: "500ms", allowed: "a time from 50ms to 10s",
-		doc: "The pause between two heartbeats.",
-		set: duration("50ms", "10s", func(settings *Settings) *time.Duration { return &settings.heartbeatInterval }),
+		section: "peers", key: "seeds", allowed: "name=IP:port of other hosts' peer addresses, with commas between",
+		doc: "Hosts to learn the fleet from where the host list can't be read at the start.",
+		set: seeds(func(settings *Settings) *[]definer.Host { return &settings.peerSeeds }),
 	},
 	{
 		section: "peers", key: "certificate", allowed: "a file",
