--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,196 @@
+package client
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// entryHost is a fake entry host: it answers where to go as told and counts
+// what it gets.
+type entryHost struct {
+	*httptest.Server
+	asked    atomic.Int64
+	received atomic.Int64
+	// where is what it answers to where to go.
+	where atomic.Pointer[Where]
+	// serve answers requests.
+	serve http.HandlerFunc
+}
+
+func startEntryHost(t *testing.T, serve http.HandlerFunc) *entryHost {
+	t.Helper()
+	entryHost := &entryHost{serve: serve}
+	entryHost.Server = httptest.NewServer(http.HandlerFunc(entryHost.handle))
+	t.Cleanup(entryHost.Close)
+	entryHost.answer(entryHost.address())
+	return entryHost
+}
+
+func (entryHost *entryHost) handle(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/where" {
+		entryHost.asked.Add(1)
+		_ = json.NewEncoder(writer).Encode(entryHost.where.Load())
+		return
+	}
+	entryHost.received.Add(1)
+	entryHost.serve(writer, request)
+}
+
+func (entryHost *entryHost) address() string { return strings.TrimPrefix(entryHost.URL, "http://") }
+
+// answer sets where callers are sent, for an hour.
+func (entryHost *entryHost) answer(addresses ...string) {
+	where := NewWhere("ledger", addresses, time.Hour)
+	entryHost.where.Store(&where)
+}
+
+func ok(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "ok") }
+
+// abort closes the connection without an answer.
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func refuse(kind, ran string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", ProblemType)
+		writer.Header().Set("Proxy-Status", "entry-1; error=proxy_internal_response")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(writer).Encode(Problem{Kind: kind, Ran: ran, Remedy: "wait"})
+	}
+}
+
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func newClient(t *testing.T, entries ...string) *Client {
+	t.Helper()
+	client := New(entries...)
+	t.Cleanup(func() { _ = client.Close() })
+	return client
+}
+
+func (client *Client) get(t *testing.T) (string, error) { return client.try(t, http.MethodGet, "") }
+
+func (client *Client) try(t *testing.T, method, key string) (string, error) {
+	t.Helper()
+	response, err := client.Do(t.Context(), NewRequest("ledger", method, "/x", []byte("body")).WithKey(key))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func TestKeepsTheAnswerOfWhereToGo(t *testing.T) {
+	entryHost := startEntryHost(t, ok)
+	client := newClient(t, entryHost.address())
+	for range 5 {
+		if body, err := client.get(t); err != nil || body != "ok" {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if asked := entryHost.asked.Load(); asked != 1 {
+		t.Fatalf("asked %d times, want 1", asked)
+	}
+}
+
+func TestGoesOnWhereNothingWasSent(t *testing.T) {
+	entryHost := startEntryHost(t, ok)
+	entryHost.answer(deadAddress(t), entryHost.address())
+	client := newClient(t, deadAddress(t), entryHost.address())
+	if body, err := client.try(t, http.MethodPost, ""); err != nil || body != "ok" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if received := entryHost.received.Load(); received != 1 {
+		t.Fatalf("received %d times, want 1", received)
+	}
+}
+
+// TestSendsAgainOnlyWhereThatIsSafe has the first entry host break off after
+// it received the request.
+func TestSendsAgainOnlyWhereThatIsSafe(t *testing.T) {
+	for _, test := range []struct {
+		name, method, key string
+		again             bool
+	}{
+		{"repeatable", http.MethodGet, "", true},
+		{"keyed", http.MethodPost, "k", true},
+		{"not repeatable", http.MethodPost, "", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			second := startEntryHost(t, ok)
+			first := startEntryHost(t, abort)
+			first.answer(first.address(), second.address())
+			_, err := newClient(t, first.address()).try(t, test.method, test.key)
+			var unknown *OutcomeUnknownError
+			if !test.again && !errors.As(err, &unknown) {
+				t.Fatalf("got %v, want outcome unknown", err)
+			}
+			if test.again && err != nil {
+				t.Fatal(err)
+			}
+			if got := second.received.Load() == 1; got != test.again || first.received.Load() != 1 {
+				t.Fatalf("first received %d, second %d", first.received.Load(), second.received.Load())
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		kind, ran string
+		again     bool
+	}{
+		{"host-leaving", "no", true},
+		{"overloaded", "no", false},
+		{"outcome-unknown", "unknown", false},
+	} {
+		t.Run(test.kind, func(t *testing.T) {
+			second := startEntryHost(t, ok)
+			first := startEntryHost(t, refuse(test.kind, test.ran))
+			first.answer(first.address(), second.address())
+			_, err := newClient(t, first.address()).try(t, http.MethodPost, "")
+			var problem *Problem
+			if got := err == nil; got != test.again {
+				t.Fatalf("got %v", err)
+			}
+			if !test.again && (!errors.As(err, &problem) || problem.Kind != test.kind) {
+				t.Fatalf("got %v, want %s", err, test.kind)
+			}
+		})
+	}
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	entryHost := startEntryHost(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Length", "9")
+		_, _ = io.WriteString(writer, "half")
+		panic(http.ErrAbortHandler)
+	})
+	if body, err := newClient(t, entryHost.address()).get(t); err == nil {
+		t.Fatalf("a cut answer came as whole: %q", body)
+	}
+}
+
+func TestNobodyInReach(t *testing.T) {
+	_, err := newClient(t, deadAddress(t)).get(t)
+	var unreachable *UnreachableError
+	if !errors.As(err, &unreachable) || unreachable.Service() != "ledger" {
+		t.Fatalf("got %v, want unreachable", err)
+	}
+}
