--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -17,15 +17,17 @@
 	ctx, cancel := context.WithTimeout(ctx, limits.patience)
 	defer cancel()
 	trial := quarantiner.newID()
+	busy := false
 	for {
 		changed := quarantiner.changes()
 		verdict, err := quarantiner.ask(ctx, fingerprint, trial)
 		if err != nil {
 			// The store may have granted the trial; nobody uses it.
 			quarantiner.later(change{kind: giveBack, fingerprint: fingerprint, trial: trial})
-			return Admission{}, refuser.New(refuser.KindStoreUnavailable, refuser.NotRun,
-				"an equal request ran on a backend server that crashed, and the store can't be asked for its trial").
-				WithRetryAfter(busyWait).WithCause(err)
+			if busy && ctx.Err() != nil {
+				return Admission{}, occupied()
+			}
+			return Admission{}, unasked(err)
 		}
 		switch verdict {
 		case suspecter.Free:
@@ -36,13 +38,26 @@
 		case suspecter.Deadly:
 			return Admission{}, deadly()
 		}
+		busy = true
 		if !await(ctx, changed, limits.poll) {
-			return Admission{}, refuser.New(refuser.KindOverloaded, refuser.NotRun,
-				"an equal request that may be deadly runs on trial, or its end is not known").WithRetryAfter(busyWait)
+			return Admission{}, occupied()
 		}
 	}
 }
 
+// occupied refuses a suspect whose trial is taken.
+func occupied() error {
+	return refuser.New(refuser.KindOverloaded, refuser.NotRun,
+		"an equal request that may be deadly runs on trial, or its end is not known").WithRetryAfter(busyWait)
+}
+
+// unasked refuses a suspect for which the store could not be asked.
+func unasked(cause error) error {
+	return refuser.New(refuser.KindStoreUnavailable, refuser.NotRun,
+		"an equal request ran on a backend server that crashed, and the store can't be asked for its trial").
+		WithRetryAfter(busyWait).WithCause(cause)
+}
+
 // ask asks the list in the store for a trial.
 func (quarantiner *Quarantiner) ask(ctx context.Context, fingerprint suspecter.Fingerprint, trial suspecter.ID) (suspecter.Verdict, error) {
 	var verdict suspecter.Verdict
