--- a/internal/administrator/world_test.go
+++ b/internal/administrator/world_test.go
@@ -253,9 +253,15 @@
 	if !strings.Contains(answer, "accepted") {
 		world.t.Fatal(answer)
 	}
+	time.Sleep(settleTime)
 	synctest.Wait()
 }
 
+// settleTime is past the first polls of hosts that knew no revision; for half a
+// second after it none polls, so sessions that cut hosts off don't hang on the
+// jitter of polls.
+const settleTime = 2 * time.Second
+
 func (world *world) stop(name string) {
 	host := world.hosts[name]
 	host.cancel()
