--- /dev/null
+++ b/scripts/faults.sh
@@ -0,0 +1,325 @@
+#!/usr/bin/env bash
+# Breaks a fleet of real processes on loopback in many ways under load, and
+# counts what must not happen: requests lost, cut, doubled, answered wrongly,
+# run twice, refused as not run but run, sent to a leaving endpoint late, and
+# revisions that went back. All must be 0. It also prints the time until
+# service was as before.
+#
+#   scripts/faults.sh                 all scenes
+#   scripts/faults.sh kill freeze     some
+#   BROKEN=1 scripts/faults.sh        the same counts under settings that are
+#                                     broken on purpose: each must be seen
+#
+# Cuts between regions and one-way loss need a network to break, so they are
+# shown in virtual time (internal/monitor).
+set -euo pipefail
+source "$(dirname "$0")/processes.sh"
+
+all_scenes="kill crash freeze outage-replace stale-list leaving-endpoint data-centre-gone rolling freeze-in-outage"
+scenes=${*:-$all_scenes}
+seconds=${SECONDS_EACH:-20}
+rate=${RATE:-200}
+out=${OUT:-out}/faults
+# The fault comes this long after the load's start.
+fault_at=5
+
+# Entry hosts: name, region and data centre. Ports follow from the order.
+fleet=(
+  "rift-1 rift rift-a" "rift-2 rift rift-a" "rift-3 rift rift-b"
+  "rift-4 rift rift-b" "coast-1 coast coast-a" "coast-2 coast coast-a"
+)
+centres=("rift rift-a" "rift rift-b" "coast coast-a")
+endpoints_each=4
+next_slot=0
+
+# port_of prints the port of the entry host called $1.
+port_of() { cat "$run/$1.port"; }
+
+# entry starts the entry host $1 of region $2 and data centre $3 on new ports,
+# and lists it; with a fourth word it is not listed.
+entry() {
+  local name=$1 region=$2 centre=$3 port=$((base + 40 + 2 * next_slot))
+  next_slot=$((next_slot + 1))
+  echo "$port" >"$run/$name.port"
+  echo "$region $centre" >"$run/$name.place"
+  settings "$name" "$region" "$centre" "$port" >/dev/null <<INI
+[callers]
+hold-time = 2s
+[operators]
+bootstrap-key = $public
+INI
+  if [ $# -lt 4 ]; then list_host "$name" "$region" "$centre" "$port"; fi
+  again "$name"
+  names_up+=("$name")
+}
+
+# again starts the entry host $1 with the settings that it had.
+again() { start "entry-$1" $daemon --settings "$run/$1.ini"; }
+
+# kill_hard ends the process called $1 at once.
+kill_hard() {
+  local pid
+  pid=$(pid_of "$1")
+  kill -KILL "$pid"
+  wait "$pid" 2>/dev/null || true
+  forget "$pid"
+}
+
+# unlist takes the entry host $1 off the host list.
+unlist() { $bench call DELETE "http://$hosts/hosts/$1" >/dev/null; }
+
+# operate_on runs a statement as the chair, on any entry host that answers.
+operate_on() {
+  local name entries=()
+  for name in "${names_up[@]}"; do entries+=(--entry "127.0.0.1:$(port_of "$name")"); done
+  $operate "${entries[@]}" --operator chair --key "$run/chair.key" "$@"
+}
+
+# accept proposes a change; the chair is the whole committee, so it is accepted.
+accept() { operate_on "propose $1" >>"$run/operator.log" 2>&1; }
+
+# set_up starts everything and accepts the configuration.
+set_up() {
+  names_up=()
+  next_slot=0
+  rm -f "$run/chair.key"
+  free_base 140
+  start_platform --lag 200ms
+  public=$($operate keygen --out "$run/chair.key" | grep -oE '[A-Za-z0-9+/_=-]{40,}' | tail -n 1)
+  local index place member
+  journals=()
+  for index in "${!centres[@]}"; do
+    read -r -a place <<<"${centres[$index]}"
+    start "backend-${place[1]}" $bench backend --admin "127.0.0.1:$((base + 2 + index))" \
+      --count $endpoints_each --name "${place[1]}" --first "127.0.0.1:$((base + 10 + 10 * index))"
+    journals+=(--journal "http://127.0.0.1:$((base + 2 + index))")
+  done
+  for member in "${fleet[@]}"; do
+    # shellcheck disable=SC2086
+    entry $member
+  done
+  for member in "${names_up[@]}"; do $bench await "127.0.0.1:$(port_of "$member")"; done
+  configure_services
+}
+
+configure_services() {
+  local index place number changes="create pool ledger, create service ledger pool ledger"
+  for index in "${!centres[@]}"; do
+    read -r -a place <<<"${centres[$index]}"
+    for number in $(seq $endpoints_each); do
+      changes+=", create endpoint ${place[1]}-$number pool ledger address 127.0.0.1:$((base + 9 + 10 * index + number))"
+      changes+=" region ${place[0]} data-centre ${place[1]} slots 4"
+    done
+  done
+  operate_on bootstrap >>"$run/operator.log" 2>&1
+  accept "$changes"
+  if [ -n "${BROKEN:-}" ]; then
+    accept "create rule all service ledger path / repeatable yes"
+  fi
+  sleep 3
+}
+
+# watch_revisions notes the revision of each entry host in $run/watched, over
+# and over.
+watch_revisions() {
+  local name revision
+  while true; do
+    for name in $(cat "$run/watched"); do
+      revision=$($operate --entry "127.0.0.1:$(port_of "$name")" --operator chair --key "$run/chair.key" \
+        "show configuration" 2>/dev/null |
+        awk '$1 == "revision" {print $2}') || true
+      if [ -n "$revision" ]; then echo "$name $revision" >>"$run/revisions"; fi
+    done
+    sleep 0.2
+  done
+}
+
+# gone_back counts how often a host showed a lower revision than before.
+gone_back() {
+  awk '$2 < last[$1] {count++} {last[$1] = $2} END {print count + 0}' "$run/revisions"
+}
+
+# watch_these names the entry hosts whose revision is noted.
+watch_these() { printf '%s\n' "$@" >"$run/watched"; }
+
+# change_often has an operator change the configuration over and over.
+change_often() {
+  local slots=5
+  while true; do
+    accept "alter endpoint rift-a-1 slots $slots" || true
+    slots=$((9 - slots))
+    sleep 1
+  done
+}
+
+# runs_of prints how often the endpoint $2 of the backend with admin port $1 ran.
+runs_of() {
+  $bench call GET "http://127.0.0.1:$1/endpoints" | tr '{' '\n' |
+    awk -F'[:,]' -v name="\"$2\"" '$2 == name {for (i = 1; i < NF; i++) if ($i == "\"runs\"") print $(i + 1)}'
+}
+
+# endpoint_state tells the host list that the endpoint rift-a-$1 is $2.
+endpoint_state() {
+  $bench call PUT "http://$hosts/backends/rift-a-$1" \
+    "{\"address\":\"127.0.0.1:$((base + 9 + $1))\",\"state\":\"$2\"}" >/dev/null
+}
+
+# The scenes. Each runs beside the load; what it sets in $late is added up.
+
+scene_kill() {
+  kill_hard entry-rift-1
+  sleep 3
+  again rift-1
+}
+
+scene_crash() {
+  local round
+  for round in 1 2 3; do
+    $bench call POST "http://127.0.0.1:$((base + 2))/endpoints/rift-a-$round/crash" >/dev/null
+    sleep 2
+  done
+}
+
+scene_freeze() {
+  local pid
+  pid=$(pid_of entry-rift-2)
+  kill -STOP "$pid"
+  sleep 5
+  kill -CONT "$pid"
+}
+
+scene_outage-replace() {
+  $bench call PUT "http://$store/faults" '{"outage":true}' >/dev/null
+  entry rift-5 rift rift-a
+  $bench await "127.0.0.1:$(port_of rift-5)"
+  watch_these "${names_up[@]}"
+  stop entry-rift-1
+  unlist rift-1
+  sleep 3
+  $bench call PUT "http://$store/faults" '{}' >/dev/null
+}
+
+scene_stale-list() {
+  $bench call PUT "http://$hosts/lag" '{"lag-ms":60000}' >/dev/null
+  kill_hard entry-rift-1
+  unlist rift-1
+  entry rift-5 rift rift-a
+}
+
+# The host list calls an endpoint leaving. Its runs are counted from 3 s after
+# the list shows that, while others still run.
+scene_leaving-endpoint() {
+  local before after admin=$((base + 2))
+  if [ -n "${BROKEN:-}" ]; then $bench call PUT "http://$hosts/lag" '{"lag-ms":60000}' >/dev/null; fi
+  endpoint_state 1 leaving
+  sleep 3.2
+  before=$(runs_of "$admin" rift-a-1)
+  sleep 5
+  after=$(runs_of "$admin" rift-a-1)
+  echo $((after - before)) >"$run/late"
+  endpoint_state 1 live
+}
+
+scene_data-centre-gone() {
+  local number admin=$((base + 3))
+  kill_hard entry-rift-3
+  kill_hard entry-rift-4
+  for number in $(seq $endpoints_each); do
+    $bench call PUT "http://127.0.0.1:$admin/endpoints/rift-b-$number" '{"stopped":true}' >/dev/null
+  done
+  sleep 8
+  for number in $(seq $endpoints_each); do
+    $bench call PUT "http://127.0.0.1:$admin/endpoints/rift-b-$number" '{"stopped":false}' >/dev/null
+  done
+  again rift-3
+  again rift-4
+}
+
+scene_rolling() {
+  local name
+  for name in "${names_up[@]}"; do
+    # shellcheck disable=SC2046
+    entry "new-$name" $(cat "$run/$name.place")
+    $bench await "127.0.0.1:$(port_of "new-$name")"
+    watch_these "${names_up[@]}"
+    sleep 1
+    stop "entry-$name"
+    unlist "$name"
+  done
+}
+
+scene_freeze-in-outage() {
+  $bench call PUT "http://$store/faults" '{"outage":true}' >/dev/null
+  scene_freeze
+  sleep 2
+  $bench call PUT "http://$store/faults" '{}' >/dev/null
+}
+
+# graceful reports whether a scene breaks no process: then no connection may
+# break either.
+graceful() { [[ $1 =~ ^(outage-replace|leaving-endpoint|rolling|crash)$ ]]; }
+
+# recovery prints how long after the fault, in ms, service was last not as
+# before: a half second with a refusal, or under 90% answered.
+recovery() {
+  awk -F'[:, ]+' -v from=$((1000 * fault_at)) -v to=$((1000 * $2)) '
+    /"series"/ {on = 1}
+    on && /"at-ms"/ {at = $3}
+    on && /"offered"/ {window = int(at / 500); offered[window] += $3}
+    on && /"answered"/ {answered[window] += $3}
+    on && /"refused"/ {refused[window] += $3}
+    END {
+      last = from
+      for (window in offered) {
+        end = 500 * (window + 1)
+        if (end > from && end < to && (refused[window] > 0 || answered[window] < 0.9 * offered[window]) && end > last) last = end
+      }
+      print last - from
+    }' "$1"
+}
+
+# play runs the scene $1 under load and prints its counts.
+play() {
+  local scene=$1 length=$seconds flags=(--faults) name entries=() load code=0 report
+  if graceful "$scene"; then flags=(); fi
+  if [ "$scene" = rolling ]; then length=100; fi
+  set_up
+  : >"$run/revisions"
+  echo 0 >"$run/late"
+  watch_these "${names_up[@]}"
+  watch_revisions &
+  local watcher=$!
+  change_often &
+  local operator=$!
+  for name in "${names_up[@]}"; do entries+=(--entry "127.0.0.1:$(port_of "$name")"); done
+  $bench load "${entries[@]}" "${journals[@]}" --service ledger --label "$scene" --rate "$rate" \
+    --duration "${length}s" --post-share 0.2 --keyed-share 0.1 "${flags[@]}" \
+    --place rift/rift-a --place rift/rift-b --place coast/coast-a --out "$out" >"$run/load.txt" 2>&1 &
+  load=$!
+  sleep "$fault_at"
+  "scene_$scene"
+  wait "$load" || code=$?
+  kill -KILL "$watcher" "$operator" 2>/dev/null || true
+  wait "$watcher" "$operator" 2>/dev/null || true
+  report="$out/$scene.json"
+  cat "$run/load.txt"
+  printf '  sent to a leaving endpoint late %d, revisions gone back %d of %d seen; as before after %d ms\n' \
+    "$(cat "$run/late")" "$(gone_back)" "$(wc -l <"$run/revisions")" "$(recovery "$report" "$length")"
+  if [ "$code" -ne 0 ] || [ "$(cat "$run/late")" -ne 0 ] || [ "$(gone_back)" -ne 0 ]; then status=1; fi
+  stop_all
+  names=()
+  pids=()
+  watch_signals
+}
+
+# watch_signals sets again what stop_all turned off.
+watch_signals() {
+  trap 'exit 130' INT
+  trap 'exit 143' TERM
+  trap 'exit 129' HUP
+}
+
+make -s build
+guard
+mkdir -p "$out"
+for scene in $scenes; do play "$scene"; done
