--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -24,8 +24,10 @@
 			backendCommand(),
 			loadCommand(),
 			compareCommand(),
+			addedCommand(),
 			callCommand(),
 			awaitCommand(),
+			endpointsCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
--- a/internal/administrator/world_test.go
+++ b/internal/administrator/world_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/chivespool/chivespool/internal/administrator"
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/encoder"
 	"github.com/chivespool/chivespool/internal/follower"
 	"github.com/chivespool/chivespool/internal/presenter"
 	"github.com/chivespool/chivespool/internal/recorder"
@@ -46,8 +47,11 @@
 	reads            int
 	writes           int
 	watches          int
-	largest          int
-	saved            map[string]connector.Entry
+	// watched counts the bytes that watches returned, snapshots those written
+	// under the keys of base snapshots.
+	watched   int
+	snapshots int
+	saved     map[string]connector.Entry
 }
 
 const lateness = 2 * time.Second
@@ -98,7 +102,9 @@
 		return connector.Entry{}, connector.NewError(connector.Conflict, "write", nil)
 	}
 	fakeStore.version++
-	fakeStore.largest = max(fakeStore.largest, len(data))
+	if key != encoder.HeadKey {
+		fakeStore.snapshots += len(data)
+	}
 	fakeStore.entries[key] = connector.NewEntry(bytes.Clone(data), fakeStore.version)
 	close(fakeStore.changed)
 	fakeStore.changed = make(chan struct{})
@@ -122,6 +128,9 @@
 	for {
 		fakeStore.mu.Lock()
 		entry, changed, outage := fakeStore.entries[key], fakeStore.changed, fakeStore.outage
+		if !outage && entry.Version() > version {
+			fakeStore.watched += len(entry.Data())
+		}
 		fakeStore.mu.Unlock()
 		if outage {
 			return connector.Entry{}, connector.NewError(connector.Unavailable, "watch", nil)
@@ -147,6 +156,13 @@
 	fakeStore.changed = make(chan struct{})
 }
 
+// current returns the bytes of the head.
+func (fakeStore *fakeStore) current() []byte {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	return fakeStore.entries[encoder.HeadKey].Data()
+}
+
 // set changes faults.
 func (fakeStore *fakeStore) set(change func()) {
 	fakeStore.mu.Lock()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,12 +10,14 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
@@ -71,6 +73,9 @@
 	quarantiner    Quarantiner
 	budget         Budget
 	meters         meters
+	// settling counts the settlements under way, and wait has one item each.
+	settling atomic.Int64
+	wait     sync.WaitGroup
 	// attempts bounds how often one request is sent; 0 for DefaultAttempts.
 	attempts int
 	// timeout bounds requests that nothing else bounds; 0 for DefaultTimeout.
@@ -243,12 +248,13 @@
 	if answer.length < 0 || answer.length > HeldAnswerBytes {
 		return answer, nil
 	}
-	body, err := io.ReadAll(answer.body)
+	body := bytes.NewBuffer(make([]byte, 0, answer.length+bytes.MinRead))
+	_, err := body.ReadFrom(answer.body)
 	_ = answer.body.Close()
 	if err != nil {
 		return nil, asFailure(err)
 	}
-	answer.body = heldBody(body)
+	answer.body = heldBody(body.Bytes())
 	return answer, nil
 }
 
--- a/internal/locator/locate.go
+++ b/internal/locator/locate.go
@@ -17,6 +17,18 @@
 // Addresses returns the addresses to use, best first.
 func (answer Answer) Addresses() []string { return answer.addresses }
 
+// WithHold returns a copy that the caller may keep for hold.
+func (answer Answer) WithHold(hold time.Duration) Answer {
+	answer.hold = hold
+	return answer
+}
+
+// WithMost returns a copy with the best addresses, at most most.
+func (answer Answer) WithMost(most int) Answer {
+	answer.addresses = answer.addresses[:min(most, len(answer.addresses))]
+	return answer
+}
+
 // Hold returns how long the caller may keep the answer.
 func (answer Answer) Hold() time.Duration { return answer.hold }
 
--- a/internal/runner/updater.go
+++ b/internal/runner/updater.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// mostAddresses bounds the entry hosts that a caller is told of.
+const mostAddresses = 8
+
 // placer tells callers where to go.
 type placer struct {
 	daemon *Daemon
@@ -73,5 +76,17 @@
 // Locate returns the entry hosts for service, nearest first.
 func (placer *placer) Locate(service string, place definer.Place, seed string) (locator.Answer, bool) {
 	daemon := placer.daemon
-	return locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
+	answer, ok := locator.Locate(daemon.follower.Current(), daemon.monitor.Hosts(), service, place, seed)
+	return answer.WithHold(daemon.settings.HoldTime()).WithMost(mostAddresses), ok
+}
+
+// settlements holds the stop of the claimer until all outcomes are recorded.
+type settlements struct {
+	daemon *Daemon
+}
+
+// Run waits for the stop and then for the outcomes.
+func (settlements *settlements) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return settlements.daemon.dispatcher.Close()
 }
--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -90,8 +90,8 @@
 		set: number(1, 100000, func(settings *Settings) *int { return &settings.queueLength }),
 	},
 	{
-		section: "routing", key: "long-share", fallback: "0.5", allowed: "a share from 0.05 to 0.95",
-		doc: "The share of a pool's slots that long work may hold; never the last slot.",
+		section: "routing", key: "long-share", fallback: "0.3", allowed: "a share from 0.05 to 0.95",
+		doc: "The share of a pool's slots that long work may hold while there is short work; never the last slot.",
 		set: share(0.05, 0.95, func(settings *Settings) *float64 { return &settings.longShare }),
 	},
 	{
@@ -105,8 +105,8 @@
 		set: share(0, 1, func(settings *Settings) *float64 { return &settings.retryShare }),
 	},
 	{
-		section: "routing", key: "region-bytes", fallback: "5000", allowed: "a number from 0 to 100000000",
-		doc: "Bytes a second that this host may spend on loans to and from other regions.",
+		section: "routing", key: "region-bytes", fallback: "262144", allowed: "a number from 0 to 100000000",
+		doc: "Bytes a second that loans from each other region may cost, with what they carry.",
 		set: number(0, 100000000, func(settings *Settings) *int { return &settings.regionBytesPerSec }),
 	},
 	{
