--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -61,7 +61,7 @@
 	pool.asked(home.name, 1)
 	pool.router.meter.count(home.region, wantBytes)
 	loan, err := pool.router.currentLender().Borrow(ctx, home.name, NewWant(request, false))
-	if err == nil && pool.knows(loan.endpoint) {
+	if err == nil && ctx.Err() == nil && pool.knows(loan.endpoint) {
 		return pool.slot(&waiter{request: request, lane: request.lane}, grant{home: home.name, loan: loan}), nil
 	}
 	if err == nil {
--- a/internal/router/lender.go
+++ b/internal/router/lender.go
@@ -12,7 +12,8 @@
 	// Borrow asks home for a slot. It may wait at the home until ctx ends. An
 	// error that is a *refuser.Refusal is the home's own answer; any other
 	// means that the home was out of reach. After an error no loan stands: one
-	// that is granted just then is given back by the Lender.
+	// that is granted just then is given back by the Lender. Borrow may return
+	// a loan after the end of ctx, which the borrower gives back.
 	Borrow(ctx context.Context, home string, want Want) (Loan, error)
 	// GiveBack ends loan and tells the home what was learned. It does not
 	// wait for the home.
--- a/internal/router/model_test.go
+++ b/internal/router/model_test.go
@@ -81,9 +81,11 @@
 type fleet struct {
 	routers map[string]*router.Router
 	names   []string
-	// cut fails all borrowing, lost loses all returns of loans.
+	// cut fails all borrowing, lost loses all returns of loans, and late
+	// answers borrowers also after they gave up.
 	cut      atomic.Bool
 	lost     atomic.Bool
+	late     atomic.Bool
 	backends map[string]*backend
 }
 
@@ -96,6 +98,9 @@
 }
 
 func (link *link) Borrow(ctx context.Context, home string, want router.Want) (router.Loan, error) {
+	if link.late.Load() {
+		ctx = context.WithoutCancel(ctx)
+	}
 	time.Sleep(hopDelay)
 	if link.cut.Load() {
 		return router.Loan{}, errCut
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -70,6 +70,7 @@
 		session.routers[argument(data, "at")].SetDraining(strings.Fields(data.Input))
 	case "cut":
 		session.cut.Store(argument(data, "links") == "cut")
+		session.late.Store(argument(data, "links") == "late")
 		session.lost.Store(argument(data, "links") == "returns")
 	case "forget":
 		session.routers[argument(data, "at")].ForgetBorrower(argument(data, "borrower"))
