keeper: a run time that no answer confirms any more refuses nothing

Cause: a request whose deadline is shorter than its class's mean run time was refused at once, and with all refused no answer could ever lower the mean: one stall of a pool would have refused the class for ever. Expect now forgets four means, at least 1 s, after the last answer. testdata/deadlines failed with the rule disabled (refused after 25 s still) and passes with it.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -200,14 +200,14 @@
 		}
 	}
 	if result.outcome == Answered {
-		keeper.observe(need, result.runTime)
+		keeper.observe(now, need, result.runTime)
 	}
 }
 
 func (keeper *Keeper) learn(now time.Time, endpoint *endpoint, need Need, result Result) {
 	ratio := keeper.ratio(need, result.runTime)
 	if result.outcome == Answered {
-		keeper.observe(need, result.runTime)
+		keeper.observe(now, need, result.runTime)
 	}
 	endpoint.learn(now, result, ratio, keeper.halfLife())
 	keeper.keepFloor(now)
--- a/internal/keeper/learner.go
+++ b/internal/keeper/learner.go
@@ -21,6 +21,10 @@
 	laneMemory  = 256
 	// outlierRatio is the multiple of a lane's mean at which a run time is cut.
 	outlierRatio = 4
+	// expectTimes and expectLeast give how long after its last answer a run
+	// time is expected: a multiple of the mean, with a least value.
+	expectTimes = 4
+	expectLeast = time.Second
 	// fadeTimes and fadeLeast give the half-life of what is known of an
 	// endpoint's speed: a multiple of the typical run time, with a least value.
 	fadeTimes = 5
@@ -29,11 +33,11 @@
 
 // observeTypical takes in a run time of a lane, where a class that runs long
 // but wasn't judged yet must not make long runs look typical.
-func (runTimes *runTimes) observeTypical(runTime time.Duration) {
+func (runTimes *runTimes) observeTypical(now time.Time, runTime time.Duration) {
 	if runTimes.count >= answersToJudge {
 		runTime = min(runTime, time.Duration(outlierRatio*runTimes.mean))
 	}
-	runTimes.observe(runTime, laneMemory)
+	runTimes.observe(now, runTime, laneMemory)
 }
 
 // Learner knows the run times of each class and of each lane. The zero value
@@ -51,11 +55,14 @@
 	count     int
 	mean      float64
 	deviation float64
+	// seenAt is when the last run time came.
+	seenAt time.Time
 	// long is true for a class that was judged long.
 	long bool
 }
 
-func (runTimes *runTimes) observe(runTime time.Duration, memory int) {
+func (runTimes *runTimes) observe(now time.Time, runTime time.Duration, memory int) {
+	runTimes.seenAt = now
 	runTimes.count = min(runTimes.count+1, memory)
 	gain := 1 / float64(runTimes.count)
 	difference := float64(runTime) - runTimes.mean
@@ -75,9 +82,14 @@
 	return lane
 }
 
-// Expect returns the mean run time and one that few requests exceed, or 0.
-func (learner *Learner) Expect(class string, lane definer.Lane) (mean, late time.Duration) {
+// Expect returns the mean run time and one that few requests exceed, or 0
+// where nothing is known or no answer came for a while: requests that are
+// refused for a run time seen once must not keep it from being seen again.
+func (learner *Learner) Expect(now time.Time, class string, lane definer.Lane) (mean, late time.Duration) {
 	known := learner.known(class, lane)
+	if now.Sub(known.seenAt) > max(expectLeast, time.Duration(expectTimes*known.mean)) {
+		return 0, 0
+	}
 	return time.Duration(known.mean), time.Duration(known.mean + 2*known.deviation)
 }
 
@@ -101,8 +113,8 @@
 }
 
 // observe takes in the run time of one answer.
-func (learner *Learner) observe(need Need, runTime time.Duration) {
-	learner.lanes[need.lane].observeTypical(runTime)
+func (learner *Learner) observe(now time.Time, need Need, runTime time.Duration) {
+	learner.lanes[need.lane].observeTypical(now, runTime)
 	if need.class == "" {
 		return
 	}
@@ -110,7 +122,7 @@
 	if known == nil {
 		known = learner.insert(need.class)
 	}
-	known.observe(runTime, classMemory)
+	known.observe(now, runTime, classMemory)
 	typical := learner.lanes[definer.Short].mean
 	if known.count < answersToJudge || typical == 0 {
 		return
--- a/internal/router/judge.go
+++ b/internal/router/judge.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	left := deadline.Sub(now)
-	mean, late := pool.own.Expect(waiter.request.class, waiter.lane)
+	mean, late := pool.own.Expect(now, waiter.request.class, waiter.lane)
 	if left <= 0 || mean > left {
 		detail := fmt.Sprintf("the answer takes about %v and the deadline is in %v", mean, left)
 		return pool.refuse(refuser.KindDeadline, detail, 0).refusal
@@ -74,7 +74,7 @@
 	if lane == definer.Long {
 		slots = pool.own.LongCap(now)
 	}
-	mean, _ := pool.own.Expect("", lane)
+	mean, _ := pool.own.Expect(now, "", lane)
 	return time.Duration(ahead+1) * mean / time.Duration(max(1, slots))
 }
 
@@ -85,7 +85,7 @@
 	if deadline.IsZero() {
 		return false
 	}
-	mean, _ := pool.own.Expect(waiter.request.class, waiter.lane)
+	mean, _ := pool.own.Expect(now, waiter.request.class, waiter.lane)
 	return now.Add(mean).After(deadline)
 }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -81,7 +81,7 @@
 		status.homes = append(status.homes, home.name)
 	}
 	for lane := range status.expected {
-		status.expected[lane], _ = pool.own.Expect("", definer.Lane(lane))
+		status.expected[lane], _ = pool.own.Expect(now, "", definer.Lane(lane))
 	}
 	return status
 }
