--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -75,17 +75,16 @@
 	io.ReadCloser
 	// end is called once, with nil after the whole body.
 	end func(failure *Failure)
-	// failure is what cut the body, if anything did.
-	failure *Failure
-	whole   bool
-	ended   bool
+	// bytes is how much of the body was read.
+	bytes int64
+	ended bool
 }
 
 // Read reads the body and notes how it ends.
 func (trackedBody *trackedBody) Read(buffer []byte) (int, error) {
 	count, err := trackedBody.ReadCloser.Read(buffer)
+	trackedBody.bytes += int64(count)
 	if err == io.EOF {
-		trackedBody.whole = true
 		trackedBody.finish(nil)
 		return count, err
 	}
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -22,16 +22,19 @@
 
 // follow frees the slot at the end of the answer's body.
 func (flight *flight) follow(answer *Answer) {
-	answer.body = &trackedBody{ReadCloser: answer.body, end: func(failure *Failure) {
+	tracked := &trackedBody{ReadCloser: answer.body}
+	tracked.end = func(failure *Failure) {
 		if failure == nil {
-			flight.answered(answer)
+			flight.answered(answer, tracked.bytes)
 			return
 		}
 		flight.fail(failure)
-	}}
+	}
+	answer.body = tracked
 }
 
-func (flight *flight) answered(answer *Answer) {
+// answered ends an attempt whose answer had a body of size bytes.
+func (flight *flight) answered(answer *Answer, size int64) {
 	outcome := router.Answered
 	switch {
 	case answer.draining:
@@ -39,7 +42,7 @@
 	case answer.status >= http.StatusInternalServerError:
 		outcome = router.Failed
 	}
-	result := router.NewResult(outcome, time.Since(flight.start))
+	result := router.NewResult(outcome, time.Since(flight.start)).WithBytes(size + max(flight.call.length, 0))
 	if answer.slots > 0 {
 		result = result.WithReport(answer.inFlight, answer.slots)
 	}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -182,7 +182,7 @@
 func encodeWant(want router.Want, wait time.Duration) *encoder.BorrowRequest {
 	request := want.Request()
 	message := &encoder.BorrowRequest{
-		Pool: request.Pool(), Lane: encoder.Lane(request.Lane()), Priority: int32(request.Priority()),
+		Pool: request.Pool(), Class: request.Class(), Lane: encoder.Lane(request.Lane()), Priority: int32(request.Priority()),
 		Isolated: request.Isolated(), Avoid: request.Avoid(), Spare: want.Spare(),
 		WaitMilliseconds: max(wait.Milliseconds(), 1),
 	}
@@ -199,6 +199,7 @@
 	}
 	request := router.NewRequest(
 		message.GetPool(),
+		router.WithClass(message.GetClass()),
 		router.InLane(definer.Lane(message.GetLane())),
 		router.WithPriority(int(message.GetPriority())),
 		router.WithDeadline(deadline),
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -120,11 +120,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		deadline := time.Now().Add(time.Second)
 		want := router.NewWant(router.NewRequest("ledger", router.InLane(definer.Long), router.WithPriority(7),
-			router.WithDeadline(deadline), router.Isolated(true), router.Avoiding("a", "b")), true)
+			router.WithDeadline(deadline), router.Isolated(true), router.Avoiding("a", "b"), router.WithClass("sums")), true)
 		got := decodeWant(encodeWant(want, time.Second))
 		request := got.Request()
 		if !got.Spare() || request.Lane() != definer.Long || request.Priority() != 7 ||
-			!request.Deadline().Equal(deadline) || !request.Isolated() || len(request.Avoid()) != 2 {
+			!request.Deadline().Equal(deadline) || !request.Isolated() || len(request.Avoid()) != 2 || request.Class() != "sums" {
 			t.Errorf("got %+v", got)
 		}
 		for name, outcome := range outcomes {
