--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/encoder"
 	"github.com/chivespool/chivespool/internal/messenger"
 	"github.com/chivespool/chivespool/internal/refuser"
@@ -31,12 +30,6 @@
 	Call(ctx context.Context, host string, request *encoder.Request) (*encoder.Reply, error)
 }
 
-// Home is the side that lends, as package router is.
-type Home interface {
-	Lend(ctx context.Context, borrower string, want router.Want) (router.Loan, error)
-	TakeBack(borrower string, loanID uint64, result router.Result)
-}
-
 // Lender borrows from other homes; it is what a router needs. Make one with New.
 type Lender struct {
 	caller Caller
@@ -152,93 +145,3 @@
 	request := &encoder.Request{Body: &encoder.Request_GiveBack{GiveBack: giveBack.request}}
 	_, _ = caller.Call(ctx, giveBack.home, request)
 }
-
-// ServeBorrow answers a borrower's request with a slot of home.
-func ServeBorrow(ctx context.Context, home Home, borrower string, request *encoder.BorrowRequest) (*encoder.Reply, error) {
-	if wait := request.GetWaitMilliseconds(); wait > 0 {
-		waiting, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
-		defer cancel()
-		ctx = waiting
-	}
-	loan, err := home.Lend(ctx, borrower, decodeWant(request))
-	var refusal *refuser.Refusal
-	if errors.As(err, &refusal) {
-		return nil, messenger.NewError(messenger.Refused, string(refusal.Kind()), refusal)
-	}
-	if err != nil {
-		return nil, messenger.NewError(messenger.Refused, string(refuser.KindOverloaded), err)
-	}
-	message := &encoder.Loan{Id: loan.ID(), Endpoint: loan.Endpoint()}
-	return &encoder.Reply{Body: &encoder.Reply_Loan{Loan: message}}, nil
-}
-
-// ServeGiveBack takes back a loan of home.
-func ServeGiveBack(home Home, borrower string, request *encoder.GiveBackRequest) *encoder.Reply {
-	home.TakeBack(borrower, request.GetLoanId(), decodeResult(request))
-	return &encoder.Reply{Body: &encoder.Reply_GiveBack{GiveBack: &encoder.GiveBackReply{}}}
-}
-
-// encodeWant returns the message of a want that may wait at the home for wait.
-func encodeWant(want router.Want, wait time.Duration) *encoder.BorrowRequest {
-	request := want.Request()
-	message := &encoder.BorrowRequest{
-		Pool: request.Pool(), Class: request.Class(), Lane: encoder.Lane(request.Lane()), Priority: int32(request.Priority()),
-		Isolated: request.Isolated(), Avoid: request.Avoid(), Spare: want.Spare(),
-		WaitMilliseconds: max(wait.Milliseconds(), 1),
-	}
-	if deadline := request.Deadline(); !deadline.IsZero() {
-		message.DeadlineMilliseconds = max(time.Until(deadline).Milliseconds(), 1)
-	}
-	return message
-}
-
-func decodeWant(message *encoder.BorrowRequest) router.Want {
-	var deadline time.Time
-	if left := message.GetDeadlineMilliseconds(); left > 0 {
-		deadline = time.Now().Add(time.Duration(left) * time.Millisecond)
-	}
-	request := router.NewRequest(
-		message.GetPool(),
-		router.WithClass(message.GetClass()),
-		router.InLane(definer.Lane(message.GetLane())),
-		router.WithPriority(int(message.GetPriority())),
-		router.WithDeadline(deadline),
-		router.Isolated(message.GetIsolated()),
-		router.Avoiding(message.GetAvoid()...),
-	)
-	return router.NewWant(request, message.GetSpare())
-}
-
-// outcomes names the outcomes of a request in messages.
-var outcomes = map[string]router.Outcome{
-	"answered": router.Answered, "failed": router.Failed, "shed": router.Shed,
-	"draining": router.Draining, "unreachable": router.Unreachable,
-	"crashed": router.Crashed, "cancelled": router.Cancelled, "unused": router.Unused,
-}
-
-func encodeGiveBack(loan router.Loan, result router.Result) *encoder.GiveBackRequest {
-	message := &encoder.GiveBackRequest{LoanId: loan.ID(), RunTimeMicroseconds: result.RunTime().Microseconds()}
-	for name, outcome := range outcomes {
-		if outcome == result.Outcome() {
-			message.Outcome = name
-		}
-	}
-	if inFlight, slots, ok := result.Report(); ok {
-		message.InFlight = int32(inFlight)
-		message.Slots = int32(slots)
-	}
-	return message
-}
-
-// decodeResult reads a result; an outcome of a newer release counts as unused.
-func decodeResult(message *encoder.GiveBackRequest) router.Result {
-	outcome, ok := outcomes[message.GetOutcome()]
-	if !ok {
-		outcome = router.Unused
-	}
-	result := router.NewResult(outcome, time.Duration(message.GetRunTimeMicroseconds())*time.Microsecond)
-	if message.GetSlots() > 0 {
-		result = result.WithReport(int(message.GetInFlight()), int(message.GetSlots()))
-	}
-	return result
-}
--- /dev/null
+++ b/internal/lender/serve.go
@@ -0,0 +1,43 @@
+package lender
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/refuser"
+	"github.com/chivespool/chivespool/internal/router"
+)
+
+// Home is the side that lends, as package router is.
+type Home interface {
+	Lend(ctx context.Context, borrower string, want router.Want) (router.Loan, error)
+	TakeBack(borrower string, loanID uint64, result router.Result)
+}
+
+// ServeBorrow answers a borrower's request with a slot of home.
+func ServeBorrow(ctx context.Context, home Home, borrower string, request *encoder.BorrowRequest) (*encoder.Reply, error) {
+	if wait := request.GetWaitMilliseconds(); wait > 0 {
+		waiting, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+		defer cancel()
+		ctx = waiting
+	}
+	loan, err := home.Lend(ctx, borrower, decodeWant(request))
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return nil, messenger.NewError(messenger.Refused, string(refusal.Kind()), refusal)
+	}
+	if err != nil {
+		return nil, messenger.NewError(messenger.Refused, string(refuser.KindOverloaded), err)
+	}
+	message := &encoder.Loan{Id: loan.ID(), Endpoint: loan.Endpoint()}
+	return &encoder.Reply{Body: &encoder.Reply_Loan{Loan: message}}, nil
+}
+
+// ServeGiveBack takes back a loan of home.
+func ServeGiveBack(home Home, borrower string, request *encoder.GiveBackRequest) *encoder.Reply {
+	home.TakeBack(borrower, request.GetLoanId(), decodeResult(request))
+	return &encoder.Reply{Body: &encoder.Reply_GiveBack{GiveBack: &encoder.GiveBackReply{}}}
+}
