claimer: claim nothing when the store's claims have another number of shards

Hosts with different claims.shards, as during a change of the setting host by host, would look for a key in different shards, and both could be granted it. The first host writes the number to the store, and each host compares before it first reads a shard: one read for each shard and start.

--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -23,6 +23,9 @@
 	// nil when it must be read first.
 	ledger  *registrar.Ledger
 	version uint64
+	// agreed is true once the store is known to hold as many shards as this
+	// host is set to.
+	agreed  bool
 	archive archive
 }
 
@@ -84,6 +87,9 @@
 // load reads the ledger, if there is none, and the segments that it names.
 func (committer *committer) load(ctx context.Context) error {
 	if committer.ledger == nil {
+		if err := committer.checkLayout(ctx); err != nil {
+			return err
+		}
 		entry, err := committer.store.Get(ctx, committer.name)
 		if err != nil {
 			return err
--- a/internal/claimer/fake_test.go
+++ b/internal/claimer/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -153,6 +154,8 @@
 // newFleet starts hosts named by letters.
 func newFleet(ctx context.Context, names string, limits Limits) *fleet {
 	fleet := &fleet{live: strings.Split(names, "")}
+	layout := connector.NewEntry([]byte(strconv.Itoa(limits.Shards())), 1)
+	fleet.store.entries = map[string]connector.Entry{layoutName: layout}
 	for _, name := range fleet.live {
 		host := &fakeHost{fakeStore: &fleet.store, name: name, fleet: fleet, done: make(chan struct{})}
 		host.SetStore(host)
