claimer: keep the writes a second when the number of shards is set

The pause between a shard's writes was fixed, so that more shards meant more writes to the store: 64 shards could have made 5,120 a second (by the setting, not run). Now the bound of 320 a second is shared out among the shards.

--- a/internal/claimer/limits.go
+++ b/internal/claimer/limits.go
@@ -19,7 +19,7 @@
 	batch      int
 	batchBytes int
 	sealBytes  int
-	gap        time.Duration
+	writes     int
 	settleWait time.Duration
 	timeout    time.Duration
 }
@@ -33,7 +33,7 @@
 		batch:      512,
 		batchBytes: 384 << 10,
 		sealBytes:  128 << 10,
-		gap:        12500 * time.Microsecond,
+		writes:     320,
 		settleWait: 100 * time.Millisecond,
 		timeout:    2 * time.Second,
 	}
@@ -71,10 +71,10 @@
 	return limits
 }
 
-// WithGap sets the least time between the starts of two writes of a shard: the
-// store gets at most shards/gap writes a second, and those that seal.
-func (limits Limits) WithGap(gap time.Duration) Limits {
-	limits.gap = gap
+// WithWrites sets how many writes a second all shards make together at most,
+// but for those that seal a segment.
+func (limits Limits) WithWrites(writes int) Limits {
+	limits.writes = writes
 	return limits
 }
 
@@ -93,6 +93,11 @@
 // Shards returns how many shards the keys are spread over.
 func (limits Limits) Shards() int { return limits.shards }
 
+// gap is the least time between the starts of two writes of a shard.
+func (limits Limits) gap() time.Duration {
+	return time.Duration(limits.shards) * time.Second / time.Duration(limits.writes)
+}
+
 func (limits Limits) terms() registrar.Terms {
 	return registrar.NewTerms(limits.retention+skewAllowance, max(1, limits.most/limits.shards))
 }
--- a/internal/claimer/session_test.go
+++ b/internal/claimer/session_test.go
@@ -63,7 +63,7 @@
 	case "fleet":
 		ctx, cancel := context.WithCancel(t.Context())
 		session.cancel = cancel
-		limits := DefaultLimits().WithShards(1)
+		limits := DefaultLimits().WithShards(1).WithWrites(80)
 		if arg("seal") != "" {
 			limits = limits.WithSealBytes(1)
 		}
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -84,7 +84,7 @@
 		}
 		started := time.Now()
 		shard.commit(ctx, batch)
-		sleep(ctx, time.Until(started.Add(shard.limits.gap)))
+		sleep(ctx, time.Until(started.Add(shard.limits.gap())))
 	}
 }
 
