arbiter: an accepted proposal is known by the configuration, too

Seen failing first in store_back: a store that went back lost the head that remembered an id, and the command repeated within two minutes applied twice, as revisions 3 and 4. The marks of the configuration, which no host gives up, name the proposal; the arbiter looks there as well. Tests of the bounds of open proposals and of remembered ids are new. The status shows its revision once.

--- a/internal/administrator/ask.go
+++ b/internal/administrator/ask.go
@@ -19,11 +19,11 @@
 
 func (administrator *Administrator) status(configuration *definer.Configuration) *presenter.Answer {
 	answer := presenter.New("name", "value")
-	answer.Add("revision", fmt.Sprint(configuration.Revision()))
-	if administrator.reporter != nil {
-		for _, fact := range administrator.reporter.Status() {
-			answer.Add(fact.name, fact.value)
-		}
+	if administrator.reporter == nil {
+		return answer.Add("revision", fmt.Sprint(configuration.Revision()))
+	}
+	for _, fact := range administrator.reporter.Status() {
+		answer.Add(fact.name, fact.value)
 	}
 	return answer
 }
--- a/internal/arbiter/arbiter.go
+++ b/internal/arbiter/arbiter.go
@@ -251,6 +251,21 @@
 // Configuration returns the configuration in force.
 func (state State) Configuration() *definer.Configuration { return state.configuration }
 
+// Outcome returns the outcome of the command or proposal called id, as far back
+// as the head remembers or an accepted proposal shows in the configuration.
+// The latter also holds where the store lost the head that had the id.
+func (state State) Outcome(id string) (Outcome, bool) {
+	if outcome, ok := state.Head.Outcome(id); ok {
+		return outcome, true
+	}
+	for _, mark := range state.configuration.Marks {
+		if mark.Origin().Proposal() == id {
+			return NewOutcome(id, Accepted, id, mark.Revision(), mark.Origin().At()), true
+		}
+	}
+	return Outcome{}, false
+}
+
 // Rebased returns the state with configuration in force instead, which is of a
 // higher revision: for a store that went back to an older value.
 func (state State) Rebased(configuration *definer.Configuration) State {
--- /dev/null
+++ b/internal/arbiter/bounds_test.go
@@ -0,0 +1,88 @@
+package arbiter_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/arbiter"
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// decideAs takes one command of a seat in and returns the state after it.
+func decideAs(state arbiter.State, seat int, id string, now time.Time, action arbiter.Action) (arbiter.State, error) {
+	command := arbiter.NewCommand(id, member(seat), keyOf(member(seat)), now, action)
+	next, _, err := arbiter.Decide(state, command, now)
+	return next, err
+}
+
+func requireKind(t *testing.T, err error, kind arbiter.ErrorKind) {
+	t.Helper()
+	var commandError *arbiter.CommandError
+	if !errors.As(err, &commandError) || commandError.Kind() != kind {
+		t.Fatalf("got %v, want %v", err, kind)
+	}
+}
+
+func proposePool(base uint64, name string) arbiter.Action {
+	return arbiter.NewPropose(base, []definer.Change{definer.SetPool(name)})
+}
+
+func TestOpenProposalsAreBounded(t *testing.T) {
+	state := committeeOf(t)
+	for index := range arbiter.MostProposals {
+		id := fmt.Sprintf("p%d", index)
+		next, err := decideAs(state, 1, id, start, proposePool(1, id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		state = next
+	}
+	_, err := decideAs(state, 1, "more", start, proposePool(1, "more"))
+	requireKind(t, err, arbiter.Full)
+}
+
+// TestIDsAreKeptWhileTheyCouldReturn fills the memory of ids: a command is
+// refused before an id is forgotten that could still be repeated.
+func TestIDsAreKeptWhileTheyCouldReturn(t *testing.T) {
+	state := committeeOf(t)
+	state, err := decideAs(state, 1, "p", start, proposePool(1, "q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := false
+	for index := 0; !refused && index <= arbiter.MostOutcomes; index++ {
+		var next arbiter.State
+		next, err = decideAs(state, 2, fmt.Sprintf("v%d", index), start, arbiter.NewCastVote("p", index%2 == 0))
+		if refused = err != nil; !refused {
+			state = next
+		}
+	}
+	requireKind(t, err, arbiter.Full)
+	if _, ok := state.Outcome("v0"); !ok {
+		t.Fatal("the first vote is forgotten")
+	}
+	later := start.Add(arbiter.MemoryOfIDs + time.Second)
+	if state, err = decideAs(state, 2, "later", later, arbiter.NewCastVote("p", true)); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := state.Outcome("v0"); ok {
+		t.Fatal("the first vote is still remembered")
+	}
+}
+
+func TestCommandsThatCannotBeJudgedAreRefused(t *testing.T) {
+	state := committeeOf(t)
+	_, err := decideAs(state, 1, "future", start, proposePool(2, "q"))
+	requireKind(t, err, arbiter.BadBase)
+	_, err = decideAs(state, 1, "none", start, arbiter.NewPropose(1, nil))
+	requireKind(t, err, arbiter.BadChange)
+	_, err = decideAs(state, 1, "missing", start, arbiter.NewPropose(1, []definer.Change{definer.DrainEndpoint("nobody")}))
+	requireKind(t, err, arbiter.BadChange)
+	for _, age := range []time.Duration{arbiter.MostAge + time.Second, -arbiter.MostSkew - time.Second} {
+		command := arbiter.NewCommand("old", member(1), keyOf(member(1)), start.Add(-age), proposePool(1, "q"))
+		_, _, err := arbiter.Decide(state, command, start)
+		requireKind(t, err, arbiter.BadTime)
+	}
+}
