--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -105,9 +105,8 @@
 func (caller *caller) do(ctx context.Context, call call, answer any) error {
 	err := caller.exchange(ctx, call, answer)
 	var failure *Error
-	if errors.As(err, &failure) && (failure.kind == Unknown || failure.kind == Unavailable) {
-		caller.calls.errors.Inc(1)
-	}
+	failed := errors.As(err, &failure) && (failure.kind == Unknown || failure.kind == Unavailable)
+	caller.calls.note(!failed, time.Now())
 	return err
 }
 
--- a/internal/connector/counter.go
+++ b/internal/connector/counter.go
@@ -1,6 +1,11 @@
 package connector
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
 
 // Calls counts the calls made to one service of the platform. A waiting watch
 // is one call; an answer of another kind than Unknown or Unavailable is no
@@ -10,6 +15,9 @@
 	writes  metrics.Counter
 	watches metrics.Counter
 	errors  metrics.Counter
+	// failing is when the first of the calls failed that failed in a row until
+	// now, in nanoseconds since 1970; 0 where the last call was answered.
+	failing *atomic.Int64
 }
 
 // newCalls returns counters, registered below prefix where registry is not nil.
@@ -25,7 +33,25 @@
 		writes:  counter("writes"),
 		watches: counter("watches"),
 		errors:  counter("errors"),
+		failing: new(atomic.Int64),
+	}
+}
+
+// note takes in whether a call was answered.
+func (calls *Calls) note(answered bool, now time.Time) {
+	if answered {
+		calls.failing.Store(0)
+		return
 	}
+	calls.errors.Inc(1)
+	calls.failing.CompareAndSwap(0, now.UnixNano())
+}
+
+// FailingSince returns since when no call was answered, or false where the
+// last one was.
+func (calls *Calls) FailingSince() (time.Time, bool) {
+	since := calls.failing.Load()
+	return time.Unix(0, since), since != 0
 }
 
 // Reads returns how many reads were sent.
--- /dev/null
+++ b/internal/runner/alarm.go
@@ -0,0 +1,79 @@
+package runner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// platformPatience is how long the platform may fail before that is an alarm.
+const platformPatience = 5 * time.Second
+
+// Hindrances returns what keeps the host from its work, with the remedy.
+func (daemon *Daemon) Hindrances() []string {
+	var hindrances []string
+	if daemon.follower.Current().Revision() == 0 {
+		hindrances = append(hindrances,
+			"no configuration is in force here; check that the platform's store or a peer can be reached, "+
+				"or found the committee with chivesctl bootstrap")
+	}
+	if daemon.leaving.Load() {
+		hindrances = append(hindrances, "the host is leaving; send callers to another")
+	}
+	return hindrances
+}
+
+// alarms returns what operators should look at, with the remedy. A host with
+// an alarm that is no hindrance goes on working.
+func (daemon *Daemon) alarms(now time.Time) []string {
+	alarms := daemon.Hindrances()
+	alarms = append(alarms, platformAlarm("store", daemon.store.Calls(), now)...)
+	alarms = append(alarms, platformAlarm("host list", daemon.hostList.Calls(), now)...)
+	live, suspect := 0, 0
+	for _, host := range daemon.monitor.Members() {
+		switch host.State() {
+		case definer.Live:
+			live++
+		case definer.Suspect:
+			suspect++
+		}
+	}
+	if live == 1 && len(daemon.monitor.Members()) > 1 {
+		alarms = append(alarms, "no peer is live; check the network and [host] peer-address")
+	}
+	if suspect > 0 {
+		alarms = append(alarms, fmt.Sprintf("%d hosts are suspect; look at membership on the time line", suspect))
+	}
+	return append(alarms, daemon.poolAlarms()...)
+}
+
+func platformAlarm(name string, calls *connector.Calls, now time.Time) []string {
+	since, failing := calls.FailingSince()
+	if !failing || now.Sub(since) < platformPatience {
+		return nil
+	}
+	return []string{fmt.Sprintf("the platform's %s has not answered since %s; tell the platform's operators, "+
+		"and see docs/OPERATING.md on an outage", name, since.UTC().Format(time.RFC3339))}
+}
+
+// poolAlarms names the pools of which this host is a home and no endpoint works.
+func (daemon *Daemon) poolAlarms() []string {
+	var alarms []string
+	for _, pool := range daemon.router.Status().Pools() {
+		endpoints, working := pool.Endpoints(), 0
+		for _, endpoint := range endpoints {
+			switch endpoint.State() {
+			case "drained", "draining", "ejected":
+			default:
+				working++
+			}
+		}
+		if len(endpoints) > 0 && working == 0 {
+			alarms = append(alarms, fmt.Sprintf("no endpoint of pool %s takes work here; ask: why %s",
+				pool.Name(), endpoints[0].Endpoint().Name()))
+		}
+	}
+	return alarms
+}
--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/chivespool/chivespool/internal/administrator"
 	"github.com/chivespool/chivespool/internal/definer"
@@ -27,8 +28,8 @@
 		administrator.NewFact("watches-store", fmt.Sprint(daemon.isWatcher())),
 		administrator.NewFact("store-calls", daemon.storeCalls()),
 	}
-	for _, hindrance := range daemon.Hindrances() {
-		facts = append(facts, administrator.NewFact("alarm", hindrance))
+	for _, alarm := range daemon.alarms(time.Now()) {
+		facts = append(facts, administrator.NewFact("alarm", alarm))
 	}
 	for _, host := range daemon.monitor.Members() {
 		facts = append(facts, administrator.NewFact("host-"+host.Name(), host.Place().String()+" "+host.State().String()))
