scripts: make bench has scenes without long work

short-90 is 90% of capacity by short requests alone, which shows what long work does to short work at the same utilisation; no-long-90 takes the long requests away and so lowers the load.

--- a/cmd/chivesbench/load.go
+++ b/cmd/chivesbench/load.go
@@ -54,6 +54,7 @@
 		&cli.DurationFlag{Name: "short", Value: 5 * time.Millisecond, Usage: "mean run time of short requests"},
 		&cli.DurationFlag{Name: "long", Value: 150 * time.Millisecond, Usage: "mean run time of long requests"},
 		&cli.FloatFlag{Name: "long-share", Value: 0.01, Usage: "share of long requests"},
+		&cli.BoolFlag{Name: "without-long", Usage: "leave the long requests out and keep the short ones"},
 		&cli.FloatFlag{Name: "post-share", Value: 0.1, Usage: "share of requests that must not repeat"},
 		&cli.FloatFlag{Name: "keyed-share", Usage: "share of requests with an Idempotency-Key"},
 		&cli.Int64Flag{Name: "request-bytes", Value: 200, Usage: "size of the bodies of POST requests"},
@@ -120,6 +121,10 @@
 		plan.Capacity = plan.CapacityOf(slots, command.Float("slow-share"), command.Float("slow-factor"))
 		plan.Rate = command.Float("load") * plan.Capacity
 	}
+	if command.Bool("without-long") {
+		plan.Rate *= 1 - plan.LongShare
+		plan.LongShare = 0
+	}
 	return plan, err
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -2,14 +2,16 @@
 # Compares ways of routing side by side: each policy has its own platform,
 # entry hosts and backend servers, all policies run at the same time under the
 # same load, at 50, 75 and 90% of capacity and through a swing of 0.3 to 1.5
-# times capacity, for several seeds. Prints a table and writes out/bench.json,
-# a plot for each scene, and each load's report under out/bench/.
+# times capacity, for several seeds. The scene short-90 is 90% of capacity by
+# short requests alone. (no-long-90, which is not run by default, is load-90
+# less its long requests.) Prints a table and writes out/bench.json, a plot for
+# each scene, and each load's report under out/bench/.
 set -euo pipefail
 source "$(dirname "$0")/processes.sh"
 
 policies=${POLICIES:-"random two-choices stale-report slots"}
 seeds=${SEEDS:-"1 2 3"}
-scenes=${SCENES:-"load-50 load-75 load-90 swing"}
+scenes=${SCENES:-"load-50 load-75 load-90 short-90 swing"}
 seconds=${SECONDS_EACH:-20}
 entries_each=${ENTRIES:-4}
 out=${OUT:-out}
@@ -60,16 +62,18 @@
 
 # load_policy sends the scene $3 to policy $1.
 load_policy() {
-  local policy=$1 port=$2 scene=$3 seed=$4 load swing=0s
+  local policy=$1 port=$2 scene=$3 seed=$4 load swing=0s flags=()
   case $scene in
     load-*) load=$(awk "BEGIN {print ${scene#load-} / 100}") ;;
+    no-long-*) load=$(awk "BEGIN {print ${scene#no-long-} / 100}") flags=(--without-long) ;;
+    short-*) load=$(awk "BEGIN {print ${scene#short-} / 100}") flags=(--long-share 0) ;;
     swing) load=1 swing=5s ;;
   esac
   start "load-$policy-$scene" $bench load --entry 127.0.0.1:$((port + 30)) \
     --journal http://127.0.0.1:$((port + 2)) --service tile \
     --label "$policy-$scene-$seed" --policy "$policy" --scene "$scene" --seed "$seed" \
     --slots $((4 * endpoints)) --load "$load" --swing "$swing" --slow-share "$slow_share" --slow-factor 4 \
-    --duration "${seconds}s" --warmup 3s "${work[@]}" --out "$out/bench"
+    --duration "${seconds}s" --warmup 3s "${work[@]}" "${flags[@]}" --out "$out/bench"
 }
 
 make -s build
