scripts: make capacity begins each fleet with an empty store

The store's log, which keeps its writes over a kill, made the second fleet find the first one's committee, so that founding it failed.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -22,6 +22,8 @@
 # of which the first 12 are served.
 start_fleet() {
   local count=$1 endpoints=$2 index place port file
+  # The store keeps its writes in a file; each fleet begins anew.
+  rm -f "$run/store.log.json"
   start_platform
   start backend $bench backend --admin "127.0.0.1:$((base + 2))" --name tile --count 12 --first "127.0.0.1:$((base + 4))"
   $bench await "127.0.0.1:$((base + 2))"
@@ -98,8 +100,8 @@
   stop_all
 done
 start_fleet 5 12
-for rate in $rates_series; do
-  measure_load "requests a second, 5 entry hosts" "$rate" "$rate"
+for each in $rates_series; do
+  measure_load "requests a second, 5 entry hosts" "$each" "$each"
 done
 stop_all
 $bench slopes "$samples"
