--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -183,10 +183,13 @@
 }
 
 scene_crash() {
-  local round
-  for round in 1 2 3; do
-    $bench call POST "http://127.0.0.1:$((base + 2))/endpoints/rift-a-$round/crash" >/dev/null
-    sleep 2
+  local round index place
+  for round in 1 2 3 4 1 2 3 4; do
+    for index in "${!centres[@]}"; do
+      read -r -a place <<<"${centres[$index]}"
+      $bench call POST "http://127.0.0.1:$((base + 2 + index))/endpoints/${place[1]}-$round/crash" >/dev/null
+    done
+    sleep 0.7
   done
 }
 
