--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies added
+.PHONY: build test lint format generate demo bench large-bodies added model
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,6 +27,11 @@
 bench:
 	scripts/bench.sh
 
+# model checks the specifications under model/ and prints the state counts; it
+# needs spin (Debian's package) and a C compiler.
+model:
+	model/check.sh
+
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
