--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -74,7 +74,7 @@
 	configuration := view.daemon.follower.Current()
 	found, ok := configuration.Service(service)
 	if !ok {
-		return nil, fmt.Errorf("no service %q; ask: services", service)
+		return nil, fmt.Errorf("no service %q; ask: show services", service)
 	}
 	known := view.known(found.Pool())
 	var destinations []administrator.Destination
@@ -113,7 +113,7 @@
 	configuration := view.daemon.follower.Current()
 	endpoint, ok := configuration.Endpoint(name)
 	if !ok {
-		return nil, fmt.Errorf("no endpoint %q; ask: endpoints", name)
+		return nil, fmt.Errorf("no endpoint %q; ask: show endpoints", name)
 	}
 	var reasons []string
 	for _, leaving := range view.daemon.monitor.Draining() {
