--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -173,7 +173,7 @@
 func (commander *Commander) script(ctx context.Context, session *session, text string) error {
 	statements, err := parser.Parse(text)
 	if err != nil {
-		return explain(err)
+		return commander.fail(session, err)
 	}
 	for _, statement := range statements {
 		if err := commander.execute(ctx, session, statement.Text()); err != nil {
@@ -187,7 +187,7 @@
 func (commander *Commander) execute(ctx context.Context, session *session, text string) error {
 	answer, err := session.ask(ctx, text)
 	if err != nil {
-		return explain(err)
+		return commander.fail(session, err)
 	}
 	return commander.show(answer, session.json)
 }
--- a/internal/commander/session.go
+++ b/internal/commander/session.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -118,13 +119,27 @@
 	return commander.script(ctx, session, line)
 }
 
-// explain shows a syntax error with its mark under the word.
-func explain(err error) error {
+// fail returns err as the operator reads it, a syntax error with its mark under
+// the word. Where answers are in JSON, it prints the failure so, too.
+func (commander *Commander) fail(session *session, err error) error {
+	failure := administrator.Failure{Kind: "no-answer", Error: err.Error()}
+	var answerError *AnswerError
 	var syntaxError *parser.SyntaxError
-	if errors.As(err, &syntaxError) {
-		return errors.New(syntaxError.Picture())
+	switch {
+	case errors.As(err, &answerError):
+		failure = answerError.failure
+	case errors.As(err, &syntaxError):
+		failure.Kind, failure.Picture = "bad-statement", syntaxError.Picture()
+		err = errors.New(failure.Picture)
 	}
-	return err
+	if !session.json {
+		return err
+	}
+	data, encodeError := json.Marshal(failure)
+	if encodeError != nil {
+		return errors.Join(err, encodeError)
+	}
+	return errors.Join(err, commander.print(string(data)+"\n"))
 }
 
 // nameList gives completion the names that an entry host knows. It asks once.
