--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies capacity added faults
+.PHONY: build test lint format generate demo bench large-bodies capacity added faults kill
 
 build:
 	go build -o bin/ ./cmd/...
@@ -35,6 +35,10 @@
 faults:
 	scripts/faults.sh
 
+# kill kills a process of each kind under load and checks what must hold.
+kill:
+	scripts/kill.sh
+
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
