runner: sessions of keys and deadly requests over three entry hosts

A test can now pull a daemon's plug: its connections break, new ones are refused and its way to the store is cut, as when its host is lost. Endpoints hold a request until the test lets it go, so nothing waits for real time.

A key sent to three hosts at once, also while the host that holds its claim is lost between claim and answer, runs at most once; a request that must not repeat runs once where its endpoint crashes; a deadly request crashes two endpoints, sent in turn and at once, in a fleet whose hosts know each other. Before the hosts knew each other, the same session crashed 3 (POST) and 4 (GET) endpoints: who is not yet in the membership isn't told of a suspect.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -100,6 +100,9 @@
 // Name returns the endpoint's name.
 func (backend *Backend) Name() string { return backend.name }
 
+// Runs returns how often the request with id ran here.
+func (backend *Backend) Runs(id string) Runs { return backend.journal.of(id) }
+
 // Settings returns the current settings.
 func (backend *Backend) Settings() BackendSettings {
 	backend.mu.Lock()
--- a/internal/emulator/journal.go
+++ b/internal/emulator/journal.go
@@ -34,6 +34,13 @@
 	journal.runs[id] = runs
 }
 
+// of returns how often the request with id ran.
+func (journal *Journal) of(id string) Runs {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	return journal.runs[id]
+}
+
 // addTo adds the journal's counts to total.
 func (journal *Journal) addTo(total map[string]Runs) {
 	journal.mu.Lock()
--- a/internal/runner/world_test.go
+++ b/internal/runner/world_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -27,9 +26,15 @@
 	store    string
 	hostList string
 	key      ed25519.PublicKey
-	backends map[string]*emulator.Backend
+	backends map[string]*backendServer
+	holds    holds
 	daemons  []*Daemon
-	stops    []func()
+	// plugs, gates and stopDaemon are of the daemons, in their order.
+	plugs      []*plug
+	gates      []*storeGate
+	stopDaemon []func()
+	storeCalls http.Handler
+	stops      []func()
 }
 
 var worldPlaces = []definer.Place{
@@ -42,10 +47,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	world := &world{t: t, key: key, backends: make(map[string]*emulator.Backend)}
+	world := &world{t: t, key: key, backends: make(map[string]*backendServer)}
 	var store emulator.Store
 	var hostList emulator.HostList
-	world.store = world.serve(store.Handler())
+	world.storeCalls = store.Handler()
+	world.store = world.serve(world.storeCalls)
 	world.hostList = world.serve(hostList.Handler())
 	t.Cleanup(world.close)
 	return world
@@ -94,9 +100,11 @@
 func (world *world) endpoint(name, pool string, place definer.Place) definer.Endpoint {
 	world.t.Helper()
 	backend := emulator.NewBackend(name, emulator.DefaultBackendSettings())
-	world.backends[name] = backend
-	address := strings.TrimPrefix(world.serve(backend.Handler()), "http://")
-	return definer.NewEndpoint(name, pool, address, place, 4)
+	backendServer := &backendServer{Backend: backend, handler: backend.Handler(), holds: &world.holds}
+	world.backends[name] = backendServer
+	listener := world.listen()
+	world.start(&httpServer{listener: backendServer.plug.listen(listener), server: http.Server{Handler: backendServer}})
+	return definer.NewEndpoint(name, pool, listener.Addr().String(), place, 4)
 }
 
 // accept makes a committee of one, ann, and lets it accept changes.
@@ -105,20 +113,35 @@
 	store := connector.NewStore(world.store)
 	defer func() { _ = store.Close() }()
 	founding := []definer.Change{definer.SetMember(definer.NewMember("ann", world.key)), definer.SetChair("ann")}
-	command := arbiter.NewCommand("found", "ann", world.key, time.Now(), arbiter.NewPropose(0, append(founding, changes...)))
-	outcome, err := submitter.New(store, &follower.Follower{}, world.key).Submit(world.t.Context(), command)
+	world.submit(store, &follower.Follower{}, 0, append(founding, changes...)...)
+}
+
+// change lets ann change what is in force at daemon, and returns the revision.
+func (world *world) change(daemon *Daemon, changes ...definer.Change) uint64 {
+	world.t.Helper()
+	return world.submit(daemon.store, daemon.follower, daemon.follower.Current().Revision(), changes...)
+}
+
+func (world *world) submit(
+	store submitter.Store, configurations submitter.Configurations, base uint64, changes ...definer.Change,
+) uint64 {
+	world.t.Helper()
+	command := arbiter.NewCommand(fmt.Sprint("change-", base), "ann", world.key, time.Now(), arbiter.NewPropose(base, changes))
+	outcome, err := submitter.New(store, configurations, world.key).Submit(world.t.Context(), command)
 	if err != nil || outcome.Revision() == 0 {
 		world.t.Fatalf("accept: %v, %v", outcome, err)
 	}
+	return outcome.Revision()
 }
 
 // daemon starts an entry host and returns once it has the configuration.
 func (world *world) daemon(name string, place definer.Place, extra string) *Daemon {
 	world.t.Helper()
 	callers, peers := world.listen(), world.listen()
+	plug, gate := &plug{}, &storeGate{next: world.storeCalls}
 	text := fmt.Sprintf("[host]\nname = %s\nregion = %s\ndata-centre = %s\naddress = %s\npeer-address = %s\n"+
 		"[platform]\nstore = %s\nhost-list = %s\n[callers]\nhold-time = 100ms\n%s",
-		name, place.Region(), place.DataCentre(), callers.Addr(), peers.Addr(), world.store, world.hostList, extra)
+		name, place.Region(), place.DataCentre(), callers.Addr(), peers.Addr(), world.serve(gate), world.hostList, extra)
 	settings, err := setter.Parse(name+".ini", []byte(text))
 	if err != nil {
 		world.t.Fatal(err)
@@ -127,16 +150,18 @@
 	if err != nil {
 		world.t.Fatal(err)
 	}
-	daemon.acceptor.SetListener(callers)
-	daemon.messenger.SetNetwork(&boundNetwork{listener: peers})
+	daemon.acceptor.SetListener(plug.listen(callers))
+	daemon.messenger.SetNetwork(&boundNetwork{listener: plug.listen(peers), plug: plug})
 	if err := daemon.hostList.Put(world.t.Context(), daemon.self); err != nil {
 		world.t.Fatal(err)
 	}
-	world.start(daemon)
+	world.stopDaemon = append(world.stopDaemon, world.start(daemon))
 	for daemon.follower.Current().Revision() == 0 {
 		<-daemon.follower.Changed()
 	}
 	world.daemons = append(world.daemons, daemon)
+	world.plugs = append(world.plugs, plug)
+	world.gates = append(world.gates, gate)
 	return daemon
 }
 
@@ -148,17 +173,3 @@
 	}
 	return listener
 }
-
-// boundNetwork dials TCP and listens where it is bound already.
-type boundNetwork struct {
-	net.Dialer
-	listener net.Listener
-}
-
-func (boundNetwork *boundNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return boundNetwork.DialContext(ctx, "tcp", address)
-}
-
-func (boundNetwork *boundNetwork) Listen(context.Context, string) (net.Listener, error) {
-	return boundNetwork.listener, nil
-}
