runner: hosts that leave hear of deadly requests too

Cause: suspects were announced to live hosts alone, but a host that leaves serves callers for its hold time, and a suspect one may be slow only. Sent to one live and three leaving hosts in turn, a deadly request crashed 4 endpoints; it crashes 2 now, since all hosts that are not gone are told (TestDeadlyRequestWhileHostsLeave, seen failing first).

--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -142,12 +142,13 @@
 	return reply.GetClaimForward().GetOutcome(), nil
 }
 
-// announcer tells the live hosts of suspects.
+// announcer tells the hosts that are not gone of suspects: a host that leaves
+// or is suspect may still serve callers.
 type announcer struct {
 	daemon *Daemon
 }
 
-// Announce returns once every live host has heard, with the failures of those
+// Announce returns once every such host has heard, with the failures of those
 // that did not.
 func (announcer *announcer) Announce(ctx context.Context, list []byte) error {
 	daemon := announcer.daemon
@@ -155,7 +156,7 @@
 	request := &encoder.Request{Body: &encoder.Request_SuspectAnnounce{SuspectAnnounce: announce}}
 	var told []*announcement
 	for _, host := range daemon.monitor.Hosts() {
-		if host.Name() == daemon.self.Name() || host.State() != definer.Live {
+		if host.Name() == daemon.self.Name() {
 			continue
 		}
 		announcement := &announcement{daemon: daemon, host: host.Name(), done: make(chan error, 1)}
