--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -132,7 +132,7 @@
 		set: duration("1m", "720h", func(settings *Settings) *time.Duration { return &settings.claimRetention }),
 	},
 	{
-		section: "claims", key: "most", fallback: "1000000", allowed: "a number from 100 to 100000000",
+		section: "claims", key: "most", fallback: "10000000", allowed: "a number from 100 to 100000000",
 		doc: "How many claims are kept in all; over it keyed requests are refused as not run.",
 		set: number(100, 100000000, func(settings *Settings) *int { return &settings.claimMost }),
 	},
