--- a/internal/claimer/archive.go
+++ b/internal/claimer/archive.go
@@ -68,16 +68,21 @@
 		known[index.number] = index
 	}
 	archive.indexes = nil
-	for _, segment := range segments {
-		index, ok := known[segment.Number()]
-		if !ok {
-			records, err := committer.readSegment(ctx, segment)
-			if err != nil {
-				return err
-			}
-			index = newSegmentIndex(segment.Number(), records)
+	for group := range slices.Chunk(segments, parallelReads) {
+		if err := archive.addAll(readAll(ctx, committer, group, known)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addAll adds segments up to the first that could not be read.
+func (archive *archive) addAll(readings []*reading) error {
+	for _, reading := range readings {
+		if reading.err != nil {
+			return reading.err
 		}
-		archive.add(index)
+		archive.add(reading.index)
 	}
 	return nil
 }
@@ -90,14 +95,12 @@
 	}
 }
 
-// knows reports whether the archive holds these segments. Segments are added
-// at the end with rising numbers, so the last one and the count tell.
+// knows reports whether the archive holds just these segments.
 func (archive *archive) knows(segments []registrar.Segment) bool {
-	last := len(segments) - 1
-	if len(archive.indexes) != len(segments) {
-		return false
+	same := func(index segmentIndex, segment registrar.Segment) bool {
+		return index.number == segment.Number()
 	}
-	return last < 0 || archive.indexes[last].number == segments[last].Number()
+	return slices.EqualFunc(archive.indexes, segments, same)
 }
 
 // find looks up the keys of requests that the ledger itself does not hold. The
