quarantiner: read the list of suspects before the first request is admitted

A host that had just started admitted a known suspect as any request, beside others, until its first read had come.

--- a/internal/quarantiner/follow.go
+++ b/internal/quarantiner/follow.go
@@ -11,6 +11,9 @@
 	"github.com/chivespool/chivespool/internal/suspecter"
 )
 
+// firstRead is how long the first request waits for the list.
+const firstRead = time.Second
+
 // errNotAnnounced says that there is no way to the other hosts.
 var errNotAnnounced = errors.New("no announcer is set; the other hosts read the store")
 
@@ -25,6 +28,25 @@
 	return nil
 }
 
+// first returns the list at the start of this host. With the store out the host
+// goes on without, rather than refuse all requests.
+func (quarantiner *Quarantiner) first(ctx context.Context) *suspecter.List {
+	quarantiner.begin.Do(func() {
+		quarantiner.prepare()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), firstRead)
+		defer cancel()
+		_, err := quarantiner.update(ctx, func(*suspecter.List) bool { return false })
+		if err == nil {
+			return
+		}
+		klog.ErrorS(err, "started without the list of suspects; it is read as soon as the store answers")
+		quarantiner.mu.Lock()
+		defer quarantiner.mu.Unlock()
+		quarantiner.publish(time.Now())
+	})
+	return quarantiner.known.Load()
+}
+
 // follow reads the list and writes the endings of this host.
 func (quarantiner *Quarantiner) follow(ctx context.Context, limits Limits) {
 	ctx, cancel := context.WithTimeout(ctx, limits.patience)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -54,6 +54,8 @@
 	known atomic.Pointer[suspecter.List]
 	// wake tells Run that there is something to write; it holds one token.
 	wake chan struct{}
+	// begin reads the list before the first request is admitted.
+	begin sync.Once
 	// start makes wake and seed at the first use.
 	start sync.Once
 	seed  [8]byte
@@ -98,7 +100,7 @@
 func (quarantiner *Quarantiner) Admit(ctx context.Context, fingerprint [32]byte) (Admission, error) {
 	known := quarantiner.known.Load()
 	if known == nil {
-		return Admission{}, nil
+		known = quarantiner.first(ctx)
 	}
 	short := suspecter.Fingerprint(fingerprint[:16])
 	suspect, ok := known.Find(short, time.Now())
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -175,6 +175,11 @@
 		fleet.hosts[host].Unsent(fingerprintOf(request))
 	case "lost":
 		fleet.hosts[host].Lost(fingerprintOf(request))
+	case "join":
+		joined := &fakeHost{fleet: fleet, done: make(chan struct{})}
+		close(joined.done)
+		joined.SetStore(&fleet.store)
+		fleet.hosts[host] = joined
 	case "cut":
 		fleet.mu.Lock()
 		fleet.cut = arg("hosts")
