--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies added model
-.PHONY: build test lint format generate demo bench large-bodies capacity added faults kill
+.PHONY: build test lint format generate demo bench large-bodies added model capacity faults kill
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +31,7 @@
 # needs spin (Debian's package) and a C compiler.
 model:
 	model/check.sh
+
 # capacity measures what an entry host costs, and prints slopes for docs/CAPACITY.md.
 capacity:
 	scripts/capacity.sh
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -33,10 +33,7 @@
 		reply := &encoder.ClaimForwardReply{Outcome: outcome}
 		return &encoder.Reply{Body: &encoder.Reply_ClaimForward{ClaimForward: reply}}, nil
 	case *encoder.Request_SuspectAnnounce:
-		if err := daemon.quarantiner.Hear(body.SuspectAnnounce.GetSuspect()); err != nil {
-			return nil, messenger.NewError(messenger.Refused, "bad-suspects", err)
-		}
-		return &encoder.Reply{Body: &encoder.Reply_Suspect{Suspect: &encoder.SuspectReply{}}}, nil
+		return peerHandler.announced(body.SuspectAnnounce)
 	}
 	return nil, messenger.NewError(messenger.Refused, "unknown-request", errors.New("this release does not know the request"))
 }
@@ -141,44 +138,3 @@
 	}
 	return reply.GetClaimForward().GetOutcome(), nil
 }
-
-// announcer tells the hosts that are not gone of suspects: a host that leaves
-// or is suspect may still serve callers.
-type announcer struct {
-	daemon *Daemon
-}
-
-// Announce returns once every such host has heard, with the failures of those
-// that did not.
-func (announcer *announcer) Announce(ctx context.Context, list []byte) error {
-	daemon := announcer.daemon
-	announce := &encoder.SuspectAnnounce{Suspect: list}
-	request := &encoder.Request{Body: &encoder.Request_SuspectAnnounce{SuspectAnnounce: announce}}
-	var told []*announcement
-	for _, host := range daemon.monitor.Hosts() {
-		if host.Name() == daemon.self.Name() {
-			continue
-		}
-		announcement := &announcement{daemon: daemon, host: host.Name(), done: make(chan error, 1)}
-		told = append(told, announcement)
-		go announcement.run(ctx, request)
-	}
-	var errs []error
-	for _, announcement := range told {
-		errs = append(errs, <-announcement.done)
-	}
-	return errors.Join(errs...)
-}
-
-// announcement tells one host.
-type announcement struct {
-	daemon *Daemon
-	host   string
-	// done gets the one result; it has room for it.
-	done chan error
-}
-
-func (announcement *announcement) run(ctx context.Context, request *encoder.Request) {
-	_, err := announcement.daemon.messenger.Call(ctx, announcement.host, request)
-	announcement.done <- err
-}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,7 +6,7 @@
 //	links      messenger, lender
 //	fleet      monitor
 //	platform   follower, claimer, quarantiner, settlements
-//	routing    updater, pusher
+//	routing    updater, pusher, puller
 //	front      acceptor, usher
 //
 // The usher stops first: it tells the peers that the host leaves and waits
@@ -203,6 +203,7 @@
 	platform.Add("settlements", &settlements{daemon: daemon})
 	routing.Add("updater", &updater{daemon: daemon})
 	routing.Add("pusher", &pusher{daemon: daemon})
+	routing.Add("puller", &puller{daemon: daemon})
 	front.Add("acceptor", daemon.acceptor)
 	front.Add("usher", &usher{daemon: daemon})
 	root.Add("links", &links)
