--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies added faults
+.PHONY: build test lint format generate demo bench large-bodies added model capacity faults kill
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,10 +27,23 @@
 bench:
 	scripts/bench.sh
 
+# model checks the specifications under model/ and prints the state counts; it
+# needs spin (Debian's package) and a C compiler.
+model:
+	model/check.sh
+
+# capacity measures what an entry host costs, and prints slopes for docs/CAPACITY.md.
+capacity:
+	scripts/capacity.sh
+
 # faults breaks a fleet on loopback in many ways and counts what must not happen.
 faults:
 	scripts/faults.sh
 
+# kill kills a process of each kind under load and checks what must hold.
+kill:
+	scripts/kill.sh
+
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
--- a/cmd/chivesbench/main.go
+++ b/cmd/chivesbench/main.go
@@ -28,6 +28,8 @@
 			callCommand(),
 			awaitCommand(),
 			endpointsCommand(),
+			sampleCommand(),
+			slopesCommand(),
 		},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,7 +6,7 @@
 //	links      messenger, lender
 //	fleet      monitor
 //	platform   follower, claimer, quarantiner, settlements
-//	routing    updater, pusher
+//	routing    updater, pusher, puller
 //	front      acceptor, usher
 //
 // The usher stops first: it tells the peers that the host leaves and waits
@@ -120,6 +120,7 @@
 	daemon.monitor.SetSelf(daemon.self)
 	daemon.monitor.SetExchanger(daemon.messenger)
 	daemon.monitor.SetHostList(daemon.hostList)
+	daemon.monitor.SetSeeds(settings.PeerSeeds())
 	daemon.monitor.SetRecorder(daemon.recorder)
 	daemon.messenger.HandleDigests(daemon.monitor)
 	daemon.messenger.OnDown(daemon.monitor.Doubt)
@@ -202,6 +203,7 @@
 	platform.Add("settlements", &settlements{daemon: daemon})
 	routing.Add("updater", &updater{daemon: daemon})
 	routing.Add("pusher", &pusher{daemon: daemon})
+	routing.Add("puller", &puller{daemon: daemon})
 	front.Add("acceptor", daemon.acceptor)
 	front.Add("usher", &usher{daemon: daemon})
 	root.Add("links", &links)
