--- a/internal/messenger/refusal_test.go
+++ b/internal/messenger/refusal_test.go
@@ -202,6 +202,18 @@
 	return credentials
 }
 
+// stranger returns credentials of theirs that trust ours, so that only the
+// other side can refuse them.
+func stranger(t *testing.T, ours, theirs *authority) *Credentials {
+	t.Helper()
+	credentials, err := NewCredentials(filepath.Join(theirs.folder, "left.key"),
+		filepath.Join(theirs.folder, "left.pem"), filepath.Join(ours.folder, "authority.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return credentials
+}
+
 func TestOnlyHostsWithTheirCertificateAreLetIn(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
 	dated := time.Unix(1000, 0)
@@ -217,6 +229,7 @@
 		{"own name", func() *Credentials { return ours.credentials(t, "left") }, ""},
 		{"another host's certificate", func() *Credentials { return ours.credentials(t, "other") }, "does not bear"},
 		{"another authority", func() *Credentials { return theirs.credentials(t, "left") }, "a stranger"},
+		{"another authority's certificate", func() *Credentials { return stranger(t, ours, theirs) }, "a stranger"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/monitor/fault_test.go
+++ b/internal/monitor/fault_test.go
@@ -58,7 +58,7 @@
 func TestSlowHostDoesNotFlap(t *testing.T) {
 	run(t, 6, regions, func(t *testing.T, fleet *fleet) {
 		fleet.mu.Lock()
-		fleet.stations["rift-002"].slow = 700 * time.Millisecond
+		fleet.stations["rift-002"].slow = 1200 * time.Millisecond
 		fleet.mu.Unlock()
 		time.Sleep(2 * time.Minute)
 		before := fleet.changes()
