--- a/internal/router/direct.go
+++ b/internal/router/direct.go
@@ -48,8 +48,9 @@
 		if ctx.Err() != nil {
 			return nil, pool.ended(ctx.Err())
 		}
+		// A host that isn't a home yet, or no longer, is as good as out of reach.
 		var refusal *refuser.Refusal
-		if errors.As(err, &refusal) {
+		if errors.As(err, &refusal) && refusal.Kind() != refuser.KindUnreachable {
 			last = refusal
 		}
 	}
--- a/internal/router/lend.go
+++ b/internal/router/lend.go
@@ -30,8 +30,9 @@
 func (router *Router) Lend(ctx context.Context, borrower string, want Want) (Loan, error) {
 	pool := router.snapshot()[want.pool]
 	if pool == nil || !pool.isHome() {
+		// Unlike a home whose pool has no endpoint: the asking host goes on.
 		detail := "this entry host is no home of pool " + want.pool
-		return Loan{}, refuser.New(refuser.KindNoEndpoint, refuser.NotRun, detail)
+		return Loan{}, refuser.New(refuser.KindUnreachable, refuser.NotRun, detail)
 	}
 	router.sweep(time.Now())
 	waiter := &waiter{request: want.Request(), borrower: borrower, spare: want.spare}
--- a/internal/runner/caller_test.go
+++ b/internal/runner/caller_test.go
@@ -24,6 +24,10 @@
 	kind   string
 	hold   string
 	size   int64
+	// work is how long it runs, in milliseconds.
+	work int
+	// timeout is in milliseconds; 0 for none.
+	timeout int
 }
 
 const orderBody = "body"
@@ -66,12 +70,16 @@
 	request.ContentLength = int64(len(orderBody))
 	request.Header.Set(headerBytes, strconv.FormatInt(order.size, 10))
 	for name, value := range map[string]string{
-		headerWorkID: order.id, headerKind: order.kind, headerHold: order.hold, "Idempotency-Key": order.key,
+		headerWorkID: order.id, headerKind: order.kind, headerHold: order.hold,
+		"Work-Ms": strconv.Itoa(order.work), "Idempotency-Key": order.key,
 	} {
 		if value != "" {
 			request.Header.Set(name, value)
 		}
 	}
+	if order.timeout > 0 {
+		request.Header.Set("Request-Timeout-Ms", strconv.Itoa(order.timeout))
+	}
 	return request
 }
 
