--- a/internal/runner/view.go
+++ b/internal/runner/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/chivespool/chivespool/internal/administrator"
 	"github.com/chivespool/chivespool/internal/definer"
@@ -27,8 +28,8 @@
 		administrator.NewFact("watches-store", fmt.Sprint(daemon.isWatcher())),
 		administrator.NewFact("store-calls", daemon.storeCalls()),
 	}
-	for _, hindrance := range daemon.Hindrances() {
-		facts = append(facts, administrator.NewFact("alarm", hindrance))
+	for _, alarm := range daemon.alarms(time.Now()) {
+		facts = append(facts, administrator.NewFact("alarm", alarm))
 	}
 	for _, host := range daemon.monitor.Members() {
 		facts = append(facts, administrator.NewFact("host-"+host.Name(), host.Place().String()+" "+host.State().String()))
@@ -73,7 +74,7 @@
 	configuration := view.daemon.follower.Current()
 	found, ok := configuration.Service(service)
 	if !ok {
-		return nil, fmt.Errorf("no service %q; ask: services", service)
+		return nil, fmt.Errorf("no service %q; ask: show services", service)
 	}
 	known := view.known(found.Pool())
 	var destinations []administrator.Destination
@@ -112,7 +113,7 @@
 	configuration := view.daemon.follower.Current()
 	endpoint, ok := configuration.Endpoint(name)
 	if !ok {
-		return nil, fmt.Errorf("no endpoint %q; ask: endpoints", name)
+		return nil, fmt.Errorf("no endpoint %q; ask: show endpoints", name)
 	}
 	var reasons []string
 	for _, leaving := range view.daemon.monitor.Draining() {
