client: a later try never makes a request not run that an earlier one may have run

Found by reading in the load tool's work; TestEarlierTryMakesTheOutcomeUnknown got the second host's 'not run' before. A connection that was given to a request counts as sent: WroteHeaders comes from another goroutine and may be late. Idle connections end before the entry hosts' 60 s.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -27,6 +27,9 @@
 	// problemBytes bounds a refusal's document.
 	problemBytes = 64 << 10
 	idleEach     = 256
+	// idleTimeout is below the entry hosts', so that they do not close a
+	// connection in the moment of its next request.
+	idleTimeout = 30 * time.Second
 )
 
 // Client sends requests through chivespool; it is safe for concurrent use.
@@ -53,7 +56,7 @@
 // (IP:port) where to go.
 func New(entries ...string) *Client {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: idleEach, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxIdleConnsPerHost: idleEach, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 	return &Client{entries: entries, http: &http.Client{Transport: transport}, kept: make(map[string]*kept)}
 }
@@ -81,27 +84,46 @@
 // Errors are a [*Problem] where chivespool refused, an [*UnreachableError]
 // where nothing was sent, or an [*OutcomeUnknownError].
 func (client *Client) Do(ctx context.Context, request *Request) (*http.Response, error) {
-	var last error
+	// doubt is the failure of a try that may have run, if there was one.
+	var doubt, last error
 	for try := range tries {
 		address, err := client.address(ctx, request.service, try)
 		if err != nil {
-			return nil, &UnreachableError{service: request.service, cause: errors.Join(last, err)}
+			return nil, final(doubt, &UnreachableError{service: request.service, cause: errors.Join(last, err)})
 		}
 		response, err := client.send(ctx, address, request)
 		if err == nil {
 			return response, nil
 		}
 		last = err
+		if !notRun(err) {
+			doubt = err
+		}
 		if ctx.Err() != nil || !safeElsewhere(request, err) {
-			return nil, err
+			break
 		}
-		client.forget(request.service, err)
+		client.forget(request.service)
 	}
-	var unreachable *UnreachableError
-	if errors.As(last, &unreachable) {
-		return nil, &UnreachableError{service: request.service, cause: unreachable.cause}
+	return nil, final(doubt, last)
+}
+
+// final returns what a caller learns of a request whose last failure is last:
+// after a try that may have run, no later one makes it not run.
+func final(doubt, last error) error {
+	if doubt == nil || !notRun(last) {
+		return last
+	}
+	return &OutcomeUnknownError{cause: errors.Join(doubt, last)}
+}
+
+// notRun reports whether a request that failed with err surely did not run.
+func notRun(err error) bool {
+	var problem *Problem
+	if errors.As(err, &problem) {
+		return problem.NotRun()
 	}
-	return nil, last
+	var unreachable *UnreachableError
+	return errors.As(err, &unreachable)
 }
 
 // safeElsewhere reports whether a request that failed with err may be sent to
@@ -120,8 +142,9 @@
 
 // send makes one attempt at address.
 func (client *Client) send(ctx context.Context, address string, request *Request) (*http.Response, error) {
+	// From a connection on, bytes of the request may have left.
 	sent := false
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent = true }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
 	outgoing, err := request.encode(httptrace.WithClientTrace(ctx, trace), address)
 	if err != nil {
 		return nil, err
@@ -184,13 +207,8 @@
 	return where, nil
 }
 
-// forget lets the next request ask where to go again, after a failure that
-// tells that the answer is old.
-func (client *Client) forget(service string, err error) {
-	var unknown *OutcomeUnknownError
-	if errors.As(err, &unknown) && unknown.cause == nil {
-		return
-	}
+// forget lets the next try ask where to go again, since the answer may be old.
+func (client *Client) forget(service string) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	if known := client.kept[service]; known != nil {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -176,6 +176,20 @@
 	}
 }
 
+// TestEarlierTryMakesTheOutcomeUnknown has a first entry host break off after
+// it received the request, and a second one refuse it as not run: together the
+// request may have run.
+func TestEarlierTryMakesTheOutcomeUnknown(t *testing.T) {
+	second := startEntryHost(t, refuse("overloaded", "no"))
+	first := startEntryHost(t, abort)
+	first.answer(first.address(), second.address())
+	_, err := newClient(t, first.address()).try(t, http.MethodPost, "k")
+	var unknown *OutcomeUnknownError
+	if !errors.As(err, &unknown) || second.received.Load() != 1 {
+		t.Fatalf("got %v, want outcome unknown", err)
+	}
+}
+
 func TestCutAnswerIsAnError(t *testing.T) {
 	entryHost := startEntryHost(t, func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Length", "9")
--- a/pkg/client/problem.go
+++ b/pkg/client/problem.go
@@ -40,11 +40,13 @@
 // OutcomeUnknownError says that a request may have run and that its answer
 // did not arrive whole.
 type OutcomeUnknownError struct {
+	// address is empty where several entry hosts were tried.
 	address string
 	cause   error
 }
 
-// Address returns the entry host that the request was sent to.
+// Address returns the entry host that the request was sent to, or empty where
+// there were several.
 func (outcomeUnknownError *OutcomeUnknownError) Address() string { return outcomeUnknownError.address }
 
 // Unwrap returns what went wrong.
@@ -52,7 +54,7 @@
 
 // Error names the entry host, the cause and the remedy.
 func (outcomeUnknownError *OutcomeUnknownError) Error() string {
-	return fmt.Sprintf("outcome unknown: the answer of %s did not arrive whole; "+
+	return fmt.Sprintf("outcome unknown: the answer of entry host %s did not arrive whole; "+
 		"look up whether the work took effect, or send it again with the same Idempotency-Key: %v", outcomeUnknownError.address, outcomeUnknownError.cause)
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -47,6 +47,7 @@
   for index in $(seq "$count"); do
     file=$(settings "$policy-$index" nairobi nairobi-a $((port + 28 + 2 * index)) <<<"[routing]
 policy = $setting
+${ROUTING_EXTRA:-}
 [callers]
 hold-time = 500ms
 [operators]
