--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT = go run mvdan.cc/gofumpt@v0.12.0
 REVIVE = go run github.com/mgechev/revive@v1.17.0
 
-.PHONY: build test lint format generate demo bench large-bodies added model capacity faults kill
+.PHONY: build test lint format generate demo bench large-bodies added model capacity faults kill spread
 
 build:
 	go build -o bin/ ./cmd/...
@@ -40,6 +40,10 @@
 faults:
 	scripts/faults.sh
 
+# spread measures how long a change takes to be in force on every entry host.
+spread:
+	scripts/spread.sh
+
 # kill kills a process of each kind under load and checks what must hold.
 kill:
 	scripts/kill.sh
