--- a/internal/administrator/authenticate.go
+++ b/internal/administrator/authenticate.go
@@ -76,7 +76,7 @@
 	var syntaxError *parser.SyntaxError
 	var commandError *arbiter.CommandError
 	var submitError *submitter.SubmitError
-	var storeError *connector.Error
+	var storeError *connector.CallError
 	switch {
 	case errors.As(err, new(AuthorizationError)):
 		failure.Kind, status = "not-authorized", http.StatusUnauthorized
--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -178,7 +178,7 @@
 
 // kindOf returns what may be concluded from a failed call to the store.
 func kindOf(err error) connector.ErrorKind {
-	var failure *connector.Error
+	var failure *connector.CallError
 	if errors.As(err, &failure) {
 		return failure.Kind()
 	}
--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -104,7 +104,7 @@
 // do sends call, decodes a good answer into answer, and types any failure.
 func (caller *caller) do(ctx context.Context, call call, answer any) error {
 	err := caller.exchange(ctx, call, answer)
-	var failure *Error
+	var failure *CallError
 	failed := errors.As(err, &failure) && (failure.kind == Unknown || failure.kind == Unavailable)
 	caller.calls.note(!failed, time.Now())
 	return err
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -45,29 +45,29 @@
 	return [...]string{"unknown", "unavailable", "conflict", "unchanged", "too-large"}[errorKind]
 }
 
-// Error is a failed call to the platform.
-type Error struct {
+// CallError is a failed call to the platform.
+type CallError struct {
 	kind      ErrorKind
 	operation string
 	cause     error
 }
 
 // NewError returns the failure of operation; cause may be nil.
-func NewError(kind ErrorKind, operation string, cause error) *Error {
-	return &Error{kind: kind, operation: operation, cause: cause}
+func NewError(kind ErrorKind, operation string, cause error) *CallError {
+	return &CallError{kind: kind, operation: operation, cause: cause}
 }
 
 // Kind returns what a caller may conclude.
-func (err *Error) Kind() ErrorKind { return err.kind }
+func (callError *CallError) Kind() ErrorKind { return callError.kind }
 
 // Unwrap returns the cause, or nil.
-func (err *Error) Unwrap() error { return err.cause }
+func (callError *CallError) Unwrap() error { return callError.cause }
 
 // Error names the operation, the kind and the remedy.
-func (err *Error) Error() string {
-	text := fmt.Sprintf("platform: %s: %s; %s", err.operation, err.kind, platformRemedies[err.kind])
-	if err.cause != nil {
-		text += ": " + err.cause.Error()
+func (callError *CallError) Error() string {
+	text := fmt.Sprintf("platform: %s: %s; %s", callError.operation, callError.kind, platformRemedies[callError.kind])
+	if callError.cause != nil {
+		text += ": " + callError.cause.Error()
 	}
 	return text
 }
--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -12,7 +12,7 @@
 const MaxValueBytes = 1 << 20
 
 // Store is the client of the platform's key-value store. It is safe for use by
-// several goroutines. Each method fails with an [Error] whose kind says what
+// several goroutines. Each method fails with an [CallError] whose kind says what
 // the caller may conclude; no method sends a call twice.
 type Store struct {
 	caller
--- a/internal/emulator/store_test.go
+++ b/internal/emulator/store_test.go
@@ -136,7 +136,7 @@
 }
 
 func showError(err error) string {
-	var failure *connector.Error
+	var failure *connector.CallError
 	if errors.As(err, &failure) {
 		return failure.Kind().String()
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -221,6 +221,6 @@
 
 // isKind reports whether err is the store's failure of kind.
 func isKind(err error, kind connector.ErrorKind) bool {
-	var failure *connector.Error
+	var failure *connector.CallError
 	return errors.As(err, &failure) && failure.Kind() == kind
 }
--- a/internal/quarantiner/update.go
+++ b/internal/quarantiner/update.go
@@ -69,7 +69,7 @@
 		if err == nil {
 			return wrote, nil
 		}
-		var failure *connector.Error
+		var failure *connector.CallError
 		again := errors.As(err, &failure) && (failure.Kind() == connector.Conflict || failure.Kind() == connector.Unknown)
 		if !again || ctx.Err() != nil {
 			return false, fmt.Errorf("update suspects: %w", err)
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -191,7 +191,7 @@
 }
 
 func isKind(err error, kind connector.ErrorKind) bool {
-	var failure *connector.Error
+	var failure *connector.CallError
 	return errors.As(err, &failure) && failure.Kind() == kind
 }
 
