--- a/Makefile
+++ b/Makefile
@@ -52,12 +52,12 @@
 # lint fails on any file that gofumpt would change, on vet's and on revive's findings.
 lint:
 	go vet ./...
-	@unformatted="$$($(GOFUMPT) -l cmd internal pkg)"; \
+	@unformatted="$$($(GOFUMPT) -l cmd internal pkg platform)"; \
 	if [ -n "$$unformatted" ]; then echo "run 'make format': $$unformatted"; exit 1; fi
 	$(REVIVE) -config revive.toml -set_exit_status ./...
 
 format:
-	$(GOFUMPT) -w cmd internal pkg
+	$(GOFUMPT) -w cmd internal pkg platform
 
 # generate needs protoc (Debian's protobuf-compiler) and protoc-gen-go; its
 # output is committed, so that a build needs neither.
--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/chivespool/chivespool/internal/launcher"
 	"github.com/chivespool/chivespool/internal/runner"
 	"github.com/chivespool/chivespool/internal/setter"
 )
@@ -48,6 +49,14 @@
 				Name: "check-settings", Usage: "report every error in a settings file and exit with 1 if there is one",
 				Flags: []cli.Flag{settings}, Action: check,
 			},
+			{
+				Name: "gateway", Usage: "run as an entry host of the users' platform",
+				Flags: []cli.Flag{&cli.StringFlag{
+					Name: "settings", Usage: "read settings from `FILE`", Required: true,
+					Sources: cli.EnvVars("CHIVESPOOL_SETTINGS"),
+				}},
+				Action: runGateway,
+			},
 			{Name: "settings-page", Usage: "print docs/SETTINGS.md", Action: page},
 		},
 	}
@@ -69,6 +78,14 @@
 	return daemon.Run(ctx)
 }
 
+func runGateway(ctx context.Context, command *cli.Command) error {
+	settings, err := setter.Read(command.String("settings"))
+	if err != nil {
+		return err
+	}
+	return launcher.New(settings).Run(ctx)
+}
+
 func check(_ context.Context, command *cli.Command) error {
 	settings, err := setter.Read(command.String("settings"))
 	if err != nil {
--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -63,6 +64,13 @@
 	leaveBound time.Duration
 	// ids makes request ids.
 	ids idMaker
+	// mount adds the protocol's paths at the first Run.
+	mount sync.Once
+	// protocol is fixed once Run is called.
+	protocol Protocol
+	// leaving reports whether connections are to end after their answer; nil
+	// for never.
+	leaving func() bool
 }
 
 // New returns an acceptor for the callers of host.
@@ -74,9 +82,7 @@
 	acceptor.ids.prefix = host.Name()
 	acceptor.echo.HTTPErrorHandler = acceptor.handleError
 	acceptor.echo.Pre(acceptor.bound)
-	acceptor.echo.GET("/where", acceptor.where)
-	acceptor.echo.Any("/s/:service", acceptor.serve)
-	acceptor.echo.Any("/s/:service/*", acceptor.serve)
+	acceptor.protocol = &plain{acceptor: acceptor}
 	acceptor.server = &http.Server{
 		Handler:           acceptor.echo,
 		MaxHeaderBytes:    limits.headerBytes,
@@ -99,6 +105,15 @@
 // SetLeaveBound bounds how long requests in flight may go on after a stop.
 func (acceptor *Acceptor) SetLeaveBound(bound time.Duration) { acceptor.leaveBound = bound }
 
+// SetProtocol replaces the product's own protocol.
+func (acceptor *Acceptor) SetProtocol(protocol Protocol) { acceptor.protocol = protocol }
+
+// SetLeaving sets what tells that the host leaves: each connection then ends
+// after the answer that is next on it.
+func (acceptor *Acceptor) SetLeaving(leaving func() bool) { acceptor.leaving = leaving }
+
+func (acceptor *Acceptor) isLeaving() bool { return acceptor.leaving != nil && acceptor.leaving() }
+
 // SetListener gives the acceptor an address that is bound already.
 func (acceptor *Acceptor) SetListener(listener net.Listener) { acceptor.listener = listener }
 
@@ -108,6 +123,7 @@
 // Run serves until ctx is done. Then each connection is told to close after
 // its answer, and Run returns when all have ended or the leave bound is over.
 func (acceptor *Acceptor) Run(ctx context.Context) error {
+	acceptor.mount.Do(func() { acceptor.protocol.Mount(acceptor.echo, acceptor.serve) })
 	listener, err := acceptor.listen(ctx)
 	if err != nil {
 		return err
--- a/internal/acceptor/problem.go
+++ b/internal/acceptor/problem.go
@@ -1,12 +1,9 @@
 package acceptor
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
@@ -58,7 +55,8 @@
 		return
 	}
 	refusal := toRefusal(err)
-	acceptor.writeRefusal(c, refusal)
+	acceptor.boundWrites(c)
+	acceptor.protocol.Refuse(c, refusal)
 }
 
 func toRefusal(err error) *refuser.Refusal {
@@ -74,22 +72,6 @@
 	return refuser.New(refuser.KindOutcomeUnknown, refuser.Unknown, "internal error")
 }
 
-func (acceptor *Acceptor) writeRefusal(c echo.Context, refusal *refuser.Refusal) {
-	problem := newProblem(refusal)
-	header := c.Response().Header()
-	header.Set(echo.HeaderContentType, client.ProblemType)
-	header.Set("Request-Ran", problem.Ran)
-	header.Set("Proxy-Status", acceptor.proxyStatus(refusal))
-	if wait := refusal.RetryAfter(); wait > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
-	}
-	acceptor.boundWrites(c)
-	c.Response().WriteHeader(problem.Status)
-	if err := json.NewEncoder(c.Response()).Encode(problem); err != nil {
-		klog.V(2).InfoS("a refusal did not reach its caller", "cause", err)
-	}
-}
-
 // proxyStatus names the cause of a refusal (RFC 9209).
 func (acceptor *Acceptor) proxyStatus(refusal *refuser.Refusal) string {
 	cause := "proxy_internal_response"
--- /dev/null
+++ b/internal/acceptor/protocol.go
@@ -0,0 +1,83 @@
+package acceptor
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/refuser"
+	"github.com/chivespool/chivespool/pkg/client"
+)
+
+// Protocol is how callers speak: where they ask, and the headers and statuses
+// of requests and answers. Bodies and connections are the acceptor's.
+type Protocol interface {
+	// Mount adds the paths that serve takes requests on, and those of the
+	// protocol's own.
+	Mount(router *echo.Echo, serve echo.HandlerFunc)
+	// Decode reads a request without its body. Its error is a *refuser.Refusal.
+	Decode(c echo.Context) (*dispatcher.Request, error)
+	// Label adds to the header of an endpoint's answer.
+	Label(header http.Header, answer *dispatcher.Answer)
+	// Refuse answers a request that failed.
+	Refuse(c echo.Context, refusal *refuser.Refusal)
+}
+
+// plain is the product's own protocol.
+type plain struct {
+	acceptor *Acceptor
+}
+
+// Mount adds the paths of services and the question of where to go.
+func (plain *plain) Mount(router *echo.Echo, serve echo.HandlerFunc) {
+	router.GET("/where", plain.acceptor.where)
+	router.Any("/s/:service", serve)
+	router.Any("/s/:service/*", serve)
+}
+
+// Decode takes the service from the path and bounds from headers.
+func (plain *plain) Decode(c echo.Context) (*dispatcher.Request, error) {
+	incoming := c.Request()
+	service := c.Param("service")
+	target := strings.TrimPrefix(incoming.URL.RequestURI(), "/s/"+service)
+	if !strings.HasPrefix(target, "/") {
+		target = "/" + target
+	}
+	request := dispatcher.NewRequest(plain.acceptor.ids.next(), service, incoming.Method, target, incoming.Header)
+	timeout, err := parseTimeout(incoming.Header.Get(headerTimeoutMs))
+	if err != nil {
+		return nil, err
+	}
+	key := incoming.Header.Get(headerKey)
+	if len(key) > maxKeyBytes {
+		return nil, badRequest(headerKey + " is over " + strconv.Itoa(maxKeyBytes) + " bytes")
+	}
+	return request.WithKey(key).WithTimeout(timeout), nil
+}
+
+// Label names the endpoint that answered.
+func (plain *plain) Label(header http.Header, answer *dispatcher.Answer) {
+	header.Set(headerEndpoint, answer.Endpoint())
+}
+
+// Refuse answers with a problem document (RFC 9457).
+func (plain *plain) Refuse(c echo.Context, refusal *refuser.Refusal) {
+	problem := newProblem(refusal)
+	header := c.Response().Header()
+	header.Set(echo.HeaderContentType, client.ProblemType)
+	header.Set("Request-Ran", problem.Ran)
+	header.Set("Proxy-Status", plain.acceptor.proxyStatus(refusal))
+	if wait := refusal.RetryAfter(); wait > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	c.Response().WriteHeader(problem.Status)
+	if err := json.NewEncoder(c.Response()).Encode(problem); err != nil {
+		klog.V(2).InfoS("a refusal did not reach its caller", "cause", err)
+	}
+}
--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +36,9 @@
 	controller := http.NewResponseController(c.Response().Writer)
 	body := &pacedBody{reader: c.Request().Body, controller: controller, pause: acceptor.limits.bodyTimeout}
 	defer body.end()
+	if acceptor.isLeaving() {
+		c.Response().Header().Set("Connection", "close")
+	}
 	err := acceptor.carry(c, controller, body)
 	if err != nil && !body.ended {
 		// Else net/http would wait for the rest of the body before it answers.
@@ -61,22 +63,11 @@
 
 // decode reads a request up to the part of its body that is held.
 func (acceptor *Acceptor) decode(c echo.Context, body io.Reader) (*dispatcher.Request, error) {
-	incoming := c.Request()
-	service := c.Param("service")
-	target := strings.TrimPrefix(incoming.URL.RequestURI(), "/s/"+service)
-	if !strings.HasPrefix(target, "/") {
-		target = "/" + target
-	}
-	request := dispatcher.NewRequest(acceptor.ids.next(), service, incoming.Method, target, incoming.Header)
-	timeout, err := parseTimeout(incoming.Header.Get(headerTimeoutMs))
+	request, err := acceptor.protocol.Decode(c)
 	if err != nil {
 		return nil, err
 	}
-	key := incoming.Header.Get(headerKey)
-	if len(key) > maxKeyBytes {
-		return nil, badRequest(headerKey + " is over " + strconv.Itoa(maxKeyBytes) + " bytes")
-	}
-	request, err = request.WithKey(key).WithTimeout(timeout).WithBody(body, incoming.ContentLength)
+	request, err = request.WithBody(body, c.Request().ContentLength)
 	if err != nil {
 		return nil, badRequest("the body broke off").WithCause(err)
 	}
@@ -108,7 +99,10 @@
 	for name, values := range answer.Header() {
 		header[name] = values
 	}
-	header.Set(headerEndpoint, answer.Endpoint())
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // Else net/http would guess one.
+	}
+	acceptor.protocol.Label(header, answer)
 	if answer.Length() >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length(), 10))
 	}
--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -30,26 +30,27 @@
 )
 
 // Option sets one property of a new Store or HostList.
-type Option func(*caller)
+type Option func(*Caller)
 
 // WithTimeout bounds each call in place of DefaultTimeout.
 func WithTimeout(timeout time.Duration) Option {
-	return func(caller *caller) { caller.timeout = timeout }
+	return func(caller *Caller) { caller.timeout = timeout }
 }
 
 // WithRegistry registers the counters of calls in registry.
 func WithRegistry(registry metrics.Registry) Option {
-	return func(caller *caller) { caller.registry = registry }
+	return func(caller *Caller) { caller.registry = registry }
 }
 
 // WithTransport sends calls through transport. It must not send a request
 // again that may have reached the platform.
 func WithTransport(transport http.RoundTripper) Option {
-	return func(caller *caller) { caller.client.Transport = transport }
+	return func(caller *Caller) { caller.client.Transport = transport }
 }
 
-// caller makes and counts calls to one service of the platform.
-type caller struct {
+// Caller makes and counts calls to one service of the platform. Make one with
+// NewCaller.
+type Caller struct {
 	baseURL  string
 	timeout  time.Duration
 	registry metrics.Registry
@@ -57,8 +58,10 @@
 	calls    Calls
 }
 
-func newCaller(baseURL, service string, options []Option) caller {
-	caller := caller{baseURL: strings.TrimSuffix(baseURL, "/"), timeout: DefaultTimeout}
+// NewCaller returns a caller of the service at baseURL, whose counters are
+// named for service.
+func NewCaller(baseURL, service string, options ...Option) Caller {
+	caller := Caller{baseURL: strings.TrimSuffix(baseURL, "/"), timeout: DefaultTimeout}
 	for _, option := range options {
 		option(&caller)
 	}
@@ -81,16 +84,16 @@
 }
 
 // Calls returns the counters of the calls made so far.
-func (caller *caller) Calls() *Calls { return &caller.calls }
+func (caller *Caller) Calls() *Calls { return &caller.calls }
 
 // Close drops idle connections; no goroutine of the caller's own is left.
-func (caller *caller) Close() error {
+func (caller *Caller) Close() error {
 	caller.client.CloseIdleConnections()
 	return nil
 }
 
-// call is one exchange with the platform.
-type call struct {
+// Call is one exchange with the platform.
+type Call struct {
 	operation string
 	method    string
 	path      string
@@ -101,16 +104,54 @@
 	body any
 }
 
+// NewCall returns a call that changes nothing; operation names it in errors.
+func NewCall(operation, method, path string) Call {
+	return Call{operation: operation, method: method, path: path}
+}
+
+// WithWait returns a copy whose answer may be held back on purpose for wait.
+func (call Call) WithWait(wait time.Duration) Call {
+	call.wait = wait
+	return call
+}
+
+// WithEffect returns a copy that may change the platform's state; body is sent
+// as JSON unless it is nil.
+func (call Call) WithEffect(body any) Call {
+	call.effect = true
+	call.body = body
+	return call
+}
+
+// Fail returns the failure of the call with cause: Unknown where it may have
+// had an effect, else Unavailable.
+func (call Call) Fail(cause error) *CallError {
+	return NewError(lossKind(call.effect), call.operation, cause)
+}
+
+// FailAs returns the failure of the call as kind.
+func (call Call) FailAs(kind ErrorKind, cause error) *CallError {
+	return NewError(kind, call.operation, cause)
+}
+
 // do sends call, decodes a good answer into answer, and types any failure.
-func (caller *caller) do(ctx context.Context, call call, answer any) error {
-	err := caller.exchange(ctx, call, answer)
+func (caller *Caller) do(ctx context.Context, call Call, answer any) error {
+	return caller.Exchange(ctx, call, func(status int, body []byte) error {
+		return decode(call, status, body, answer)
+	})
+}
+
+// Exchange sends call and hands the status and the body of its answer to read,
+// whose error it returns. A call that was not answered fails as a [CallError].
+func (caller *Caller) Exchange(ctx context.Context, call Call, read func(status int, body []byte) error) error {
+	err := caller.exchange(ctx, call, read)
 	var failure *CallError
 	failed := errors.As(err, &failure) && (failure.kind == Unknown || failure.kind == Unavailable)
 	caller.calls.note(!failed, time.Now())
 	return err
 }
 
-func (caller *caller) exchange(ctx context.Context, call call, answer any) error {
+func (caller *Caller) exchange(ctx context.Context, call Call, read func(status int, body []byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, caller.timeout+call.wait)
 	defer cancel()
 	// sent is true once a connection was given to the request: from there on
@@ -128,10 +169,14 @@
 		return NewError(lossKind(call.effect && sent.Load()), call.operation, err)
 	}
 	defer response.Body.Close()
-	return decode(call, response, answer)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return call.Fail(err)
+	}
+	return read(response.StatusCode, data)
 }
 
-func (caller *caller) newRequest(ctx context.Context, call call) (*http.Request, error) {
+func (caller *Caller) newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	var body io.Reader
 	if call.body != nil {
 		data, err := json.Marshal(call.body)
@@ -163,12 +208,8 @@
 }
 
 // decode reads the answer of call or types its failure.
-func decode(call call, response *http.Response, answer any) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return NewError(lossKind(call.effect), call.operation, err)
-	}
-	if response.StatusCode == http.StatusOK {
+func decode(call Call, status int, data []byte, answer any) error {
+	if status == http.StatusOK {
 		if err := json.Unmarshal(data, answer); err != nil {
 			return NewError(lossKind(call.effect), call.operation, err)
 		}
@@ -177,11 +218,11 @@
 	var failure failure
 	// A body that is no JSON leaves failure empty, which is the cautious case.
 	_ = json.Unmarshal(data, &failure)
-	cause := fmt.Errorf("status %d: %s", response.StatusCode, failure.Reason)
-	return NewError(statusKind(call, response.StatusCode, failure), call.operation, cause)
+	cause := fmt.Errorf("status %d: %s", status, failure.Reason)
+	return NewError(statusKind(call, status, failure), call.operation, cause)
 }
 
-func statusKind(call call, status int, failure failure) ErrorKind {
+func statusKind(call Call, status int, failure failure) ErrorKind {
 	switch status {
 	case http.StatusConflict:
 		return Conflict
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -38,11 +38,15 @@
 	Unchanged
 	// TooLarge means that the value is over the store's bound of 1 MB.
 	TooLarge
+	// Forgotten means that the store does not hold what changed since then.
+	Forgotten
+	// Ended means that the lease has ended.
+	Ended
 )
 
 // String returns the kind in kebab case.
 func (errorKind ErrorKind) String() string {
-	return [...]string{"unknown", "unavailable", "conflict", "unchanged", "too-large"}[errorKind]
+	return [...]string{"unknown", "unavailable", "conflict", "unchanged", "too-large", "forgotten", "ended"}[errorKind]
 }
 
 // CallError is a failed call to the platform.
@@ -78,4 +82,6 @@
 	Conflict:    "read the key again and redo the change on the newer value",
 	Unchanged:   "watch again",
 	TooLarge:    "split the value; the store holds up to 1 MB",
+	Forgotten:   "read everything anew",
+	Ended:       "take a new lease",
 }
--- a/internal/connector/counter.go
+++ b/internal/connector/counter.go
@@ -14,7 +14,9 @@
 	reads   metrics.Counter
 	writes  metrics.Counter
 	watches metrics.Counter
-	errors  metrics.Counter
+	// renewals are counted apart, since the platform takes a tenth for one.
+	renewals metrics.Counter
+	errors   metrics.Counter
 	// failing is when the first of the calls failed that failed in a row until
 	// now, in nanoseconds since 1970; 0 where the last call was answered.
 	failing *atomic.Int64
@@ -29,11 +31,12 @@
 		return metrics.GetOrRegisterCounter(prefix+"."+name, registry)
 	}
 	return Calls{
-		reads:   counter("reads"),
-		writes:  counter("writes"),
-		watches: counter("watches"),
-		errors:  counter("errors"),
-		failing: new(atomic.Int64),
+		reads:    counter("reads"),
+		writes:   counter("writes"),
+		watches:  counter("watches"),
+		renewals: counter("renewals"),
+		errors:   counter("errors"),
+		failing:  new(atomic.Int64),
 	}
 }
 
@@ -47,6 +50,21 @@
 	calls.failing.CompareAndSwap(0, now.UnixNano())
 }
 
+// Read counts a read.
+func (calls *Calls) Read() { calls.reads.Inc(1) }
+
+// Write counts a write.
+func (calls *Calls) Write() { calls.writes.Inc(1) }
+
+// Watch counts a watch.
+func (calls *Calls) Watch() { calls.watches.Inc(1) }
+
+// Renewal counts the renewal of a lease.
+func (calls *Calls) Renewal() { calls.renewals.Inc(1) }
+
+// Renewals returns how many renewals of leases were sent.
+func (calls *Calls) Renewals() int64 { return calls.renewals.Count() }
+
 // FailingSince returns since when no call was answered, or false where the
 // last one was.
 func (calls *Calls) FailingSince() (time.Time, bool) {
--- a/internal/connector/host_list.go
+++ b/internal/connector/host_list.go
@@ -12,12 +12,12 @@
 // HostList is the client of the platform's list of hosts, which lags behind.
 // It is safe for use by several goroutines.
 type HostList struct {
-	caller
+	Caller
 }
 
 // NewHostList returns the client of the host list at baseURL.
 func NewHostList(baseURL string, options ...Option) *HostList {
-	return &HostList{caller: newCaller(baseURL, "host-list", options)}
+	return &HostList{Caller: NewCaller(baseURL, "host-list", options...)}
 }
 
 // Backend is an endpoint of a backend server as the host list shows it.
@@ -65,7 +65,7 @@
 	var answer struct {
 		Hosts []wireHost `json:"hosts"`
 	}
-	err := hostList.do(ctx, call{operation: "list hosts", method: http.MethodGet, path: "/hosts"}, &answer)
+	err := hostList.do(ctx, Call{operation: "list hosts", method: http.MethodGet, path: "/hosts"}, &answer)
 	hosts := make([]definer.Host, 0, len(answer.Hosts))
 	for _, wireHost := range answer.Hosts {
 		hosts = append(hosts, wireHost.host())
@@ -79,7 +79,7 @@
 	var answer struct {
 		Backends []wireBackend `json:"backends"`
 	}
-	err := hostList.do(ctx, call{operation: "list backends", method: http.MethodGet, path: "/backends"}, &answer)
+	err := hostList.do(ctx, Call{operation: "list backends", method: http.MethodGet, path: "/backends"}, &answer)
 	backends := make([]Backend, 0, len(answer.Backends))
 	for _, backend := range answer.Backends {
 		backends = append(backends, NewBackend(backend.Name, backend.Address, hostState(backend.State)))
@@ -97,7 +97,7 @@
 		Region: place.Region(), DataCentre: place.DataCentre(),
 		Incarnation: host.Incarnation(), State: host.State().String(),
 	}
-	return hostList.do(ctx, call{
+	return hostList.do(ctx, Call{
 		operation: "put host " + host.Name(), method: http.MethodPut,
 		path: "/hosts/" + url.PathEscape(host.Name()), effect: true, body: body,
 	}, &struct{}{})
@@ -106,7 +106,7 @@
 // Remove takes the host called name off the list.
 func (hostList *HostList) Remove(ctx context.Context, name string) error {
 	hostList.calls.writes.Inc(1)
-	return hostList.do(ctx, call{
+	return hostList.do(ctx, Call{
 		operation: fmt.Sprintf("remove host %s", name), method: http.MethodDelete,
 		path: "/hosts/" + url.PathEscape(name), effect: true,
 	}, &struct{}{})
--- a/internal/connector/lease.go
+++ b/internal/connector/lease.go
@@ -60,7 +60,7 @@
 	store.calls.writes.Inc(1)
 	body := wireLease{Holder: lease.holder, Fence: lease.fence, DurationMs: lease.duration.Milliseconds()}
 	var answer wireLease
-	err := store.do(ctx, call{
+	err := store.do(ctx, Call{
 		operation: action + " lease " + lease.name, method: http.MethodPost,
 		path: "/leases/" + url.PathEscape(lease.name) + "/" + action, effect: true, body: body,
 	}, &answer)
--- a/internal/connector/store.go
+++ b/internal/connector/store.go
@@ -15,12 +15,12 @@
 // several goroutines. Each method fails with an [CallError] whose kind says what
 // the caller may conclude; no method sends a call twice.
 type Store struct {
-	caller
+	Caller
 }
 
 // NewStore returns the client of the store at baseURL.
 func NewStore(baseURL string, options ...Option) *Store {
-	return &Store{caller: newCaller(baseURL, "store", options)}
+	return &Store{Caller: NewCaller(baseURL, "store", options...)}
 }
 
 // wireEntry is an entry as the store sends it.
@@ -39,7 +39,7 @@
 func (store *Store) Get(ctx context.Context, key string) (Entry, error) {
 	store.calls.reads.Inc(1)
 	var answer wireEntry
-	err := store.do(ctx, call{operation: "get " + key, method: http.MethodGet, path: keyPath(key)}, &answer)
+	err := store.do(ctx, Call{operation: "get " + key, method: http.MethodGet, path: keyPath(key)}, &answer)
 	return NewEntry(answer.Data, answer.Version), err
 }
 
@@ -52,7 +52,7 @@
 	}
 	store.calls.writes.Inc(1)
 	var answer wireEntry
-	err := store.do(ctx, call{
+	err := store.do(ctx, Call{
 		operation: operation, method: http.MethodPut, path: keyPath(key),
 		effect: true, body: wireWrite{Version: version, Data: data},
 	}, &answer)
@@ -65,7 +65,7 @@
 // Delete removes key if it is still at version.
 func (store *Store) Delete(ctx context.Context, key string, version uint64) error {
 	store.calls.writes.Inc(1)
-	return store.do(ctx, call{
+	return store.do(ctx, Call{
 		operation: "delete " + key, method: http.MethodDelete,
 		path: fmt.Sprintf("%s?version=%d", keyPath(key), version), effect: true,
 	}, &wireEntry{})
@@ -76,7 +76,7 @@
 func (store *Store) Watch(ctx context.Context, key string, version uint64, wait time.Duration) (Entry, error) {
 	store.calls.watches.Inc(1)
 	var answer wireEntry
-	err := store.do(ctx, call{
+	err := store.do(ctx, Call{
 		operation: "watch " + key, method: http.MethodGet, wait: wait,
 		path: fmt.Sprintf("%s?after=%d&wait-ms=%d", keyPath(key), version, wait.Milliseconds()),
 	}, &answer)
--- a/internal/definer/endpoint.go
+++ b/internal/definer/endpoint.go
@@ -1,5 +1,7 @@
 package definer
 
+import "time"
+
 // Endpoint is one address of a backend server in a pool.
 type Endpoint struct {
 	name    string
@@ -10,6 +12,13 @@
 	slots int
 	// drained is true while operators keep new work from the endpoint.
 	drained bool
+	// healthPath is the path of its health check, or empty.
+	healthPath string
+	// born tells this start of the endpoint from others under its name.
+	born int64
+	// cold is for how long the endpoint was still slow after its start when
+	// this was written.
+	cold time.Duration
 }
 
 // NewEndpoint returns an endpoint of pool at address (IP:port) with slots slots.
@@ -40,3 +49,32 @@
 	endpoint.drained = drained
 	return endpoint
 }
+
+// HealthPath returns the path of the endpoint's health check, or empty.
+func (endpoint Endpoint) HealthPath() string { return endpoint.healthPath }
+
+// WithHealthPath returns a copy with the path of the health check.
+func (endpoint Endpoint) WithHealthPath(path string) Endpoint {
+	endpoint.healthPath = path
+	return endpoint
+}
+
+// Born returns the time of the endpoint's start in milliseconds since 1970, or
+// 0 where it is not known.
+func (endpoint Endpoint) Born() int64 { return endpoint.born }
+
+// WithBorn returns a copy with the time of the start.
+func (endpoint Endpoint) WithBorn(born int64) Endpoint {
+	endpoint.born = born
+	return endpoint
+}
+
+// Cold returns for how long the endpoint was still slow after its start when
+// it said so.
+func (endpoint Endpoint) Cold() time.Duration { return endpoint.cold }
+
+// WithCold returns a copy that is slow for a while after its start.
+func (endpoint Endpoint) WithCold(cold time.Duration) Endpoint {
+	endpoint.cold = cold
+	return endpoint
+}
--- /dev/null
+++ b/internal/definer/route.go
@@ -0,0 +1,211 @@
+package definer
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Route says how the requests for a host name and a path prefix are treated.
+type Route struct {
+	name   string
+	prefix string
+	// destinations has at least one entry, each with a weight above 0.
+	destinations []Destination
+	// repeatable is true when a matching request may run more than once.
+	repeatable bool
+	// attempts bounds how many endpoints one request may be sent to; at least 1.
+	attempts int
+	// timeout bounds a request from its arrival; 0 for none.
+	timeout time.Duration
+	// target is the time within which an answer is of full use; 0 for none.
+	target time.Duration
+	// rank orders requests by urgency; 0 is the most urgent.
+	rank int
+}
+
+// RouteOption sets one property of a new route.
+type RouteOption func(*Route)
+
+// RouteRepeatable lets matching requests run more than once, or not.
+func RouteRepeatable(repeatable bool) RouteOption {
+	return func(route *Route) { route.repeatable = repeatable }
+}
+
+// RouteAttempts bounds how many endpoints one request may be sent to.
+func RouteAttempts(attempts int) RouteOption {
+	return func(route *Route) { route.attempts = max(attempts, 1) }
+}
+
+// RouteTimes sets the bound on a request and the time it should be answered
+// in; 0 for none.
+func RouteTimes(timeout, target time.Duration) RouteOption {
+	return func(route *Route) { route.timeout, route.target = timeout, target }
+}
+
+// RouteRank sets the urgency; 0 is the most urgent.
+func RouteRank(rank int) RouteOption { return func(route *Route) { route.rank = rank } }
+
+// NewRoute returns a route. Without options its requests are not repeatable,
+// are sent once, and have no bound.
+func NewRoute(name, prefix string, destinations []Destination, options ...RouteOption) Route {
+	route := Route{name: name, prefix: prefix, destinations: destinations, attempts: 1}
+	for _, option := range options {
+		option(&route)
+	}
+	return route
+}
+
+// Name returns the route's name, unique in its table.
+func (route Route) Name() string { return route.name }
+
+// Prefix returns the path prefix that the route matches.
+func (route Route) Prefix() string { return route.prefix }
+
+// Repeatable reports whether matching requests may run more than once.
+func (route Route) Repeatable() bool { return route.repeatable }
+
+// Attempts returns how many endpoints one request may be sent to.
+func (route Route) Attempts() int { return route.attempts }
+
+// Timeout returns the bound on a request from its arrival, or 0.
+func (route Route) Timeout() time.Duration { return route.timeout }
+
+// Target returns the time within which an answer is of full use, or 0.
+func (route Route) Target() time.Duration { return route.target }
+
+// Rank returns the urgency; 0 is the most urgent.
+func (route Route) Rank() int { return route.rank }
+
+// Destinations returns the services of the route; callers must not change it.
+func (route Route) Destinations() []Destination { return route.destinations }
+
+// goldenRatio spreads consecutive numbers evenly over [0, 1) (the additive
+// recurrence with the lowest discrepancy).
+const goldenRatio = 0.6180339887498949
+
+// Pick returns the service of the ticket-th request. Any run of consecutive
+// tickets is spread over the services in proportion to their weights.
+func (route Route) Pick(ticket uint64) string {
+	total := 0
+	for _, destination := range route.destinations {
+		total += destination.weight
+	}
+	_, fraction := math.Modf(float64(ticket%(1<<32)) * goldenRatio)
+	point := fraction * float64(total)
+	for _, destination := range route.destinations {
+		point -= float64(destination.weight)
+		if point < 0 {
+			return destination.service
+		}
+	}
+	return route.destinations[len(route.destinations)-1].service
+}
+
+// Destination is a service that gets a part of a route's requests.
+type Destination struct {
+	service string
+	// weight is at least 1.
+	weight int
+}
+
+// NewDestination returns a destination; weight is relative to the others'.
+func NewDestination(service string, weight int) Destination {
+	return Destination{service: service, weight: weight}
+}
+
+// Service returns the name of the service.
+func (destination Destination) Service() string { return destination.service }
+
+// Weight returns the part of the requests, relative to the others'.
+func (destination Destination) Weight() int { return destination.weight }
+
+// CallerLimits bound what a caller may send. A zero field is no bound.
+type CallerLimits struct {
+	headerBytes   int
+	bodyBytes     int64
+	headerTimeout time.Duration
+	idleTimeout   time.Duration
+}
+
+// NewCallerLimits returns limits on the bytes of a header and a body, on the
+// time to send a header, and on the rest between requests.
+func NewCallerLimits(headerBytes int, bodyBytes int64, headerTimeout, idleTimeout time.Duration) CallerLimits {
+	return CallerLimits{
+		headerBytes: headerBytes, bodyBytes: bodyBytes,
+		headerTimeout: headerTimeout, idleTimeout: idleTimeout,
+	}
+}
+
+// HeaderBytes bounds a request's header.
+func (limits CallerLimits) HeaderBytes() int { return limits.headerBytes }
+
+// BodyBytes bounds a request's body.
+func (limits CallerLimits) BodyBytes() int64 { return limits.bodyBytes }
+
+// HeaderTimeout bounds the time to send a header.
+func (limits CallerLimits) HeaderTimeout() time.Duration { return limits.headerTimeout }
+
+// IdleTimeout bounds the rest between requests.
+func (limits CallerLimits) IdleTimeout() time.Duration { return limits.idleTimeout }
+
+// RouteTable is the routing that operators have put in force, at one version.
+// It is immutable. The zero value is the empty table at version 0, which
+// stands for no table at all.
+type RouteTable struct {
+	// version rises with each change.
+	version uint64
+	// routes holds the routes of each host name, the longest prefix first.
+	routes map[string][]Route
+	// healthPaths holds the path of the health check of each service.
+	healthPaths map[string]string
+	limits      CallerLimits
+}
+
+// NewRouteTable returns a table. Routes are by host name in lower case.
+func NewRouteTable(version uint64, routes map[string][]Route, healthPaths map[string]string, limits CallerLimits) *RouteTable {
+	table := &RouteTable{version: version, routes: make(map[string][]Route, len(routes)), healthPaths: healthPaths, limits: limits}
+	for host, list := range routes {
+		list = slices.Clone(list)
+		slices.SortStableFunc(list, func(a, b Route) int { return len(b.prefix) - len(a.prefix) })
+		table.routes[host] = list
+	}
+	return table
+}
+
+// Version returns the version, or 0 where there is no table.
+func (table *RouteTable) Version() uint64 { return table.version }
+
+// Limits returns what a caller may send.
+func (table *RouteTable) Limits() CallerLimits { return table.limits }
+
+// Find returns the route with the longest prefix that begins path. A port in
+// host is ignored, and so is its case.
+func (table *RouteTable) Find(host, path string) (Route, bool) {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	for _, route := range table.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// HealthPath returns the path of the health check of service; false where the
+// table has no such service.
+func (table *RouteTable) HealthPath(service string) (string, bool) {
+	path, ok := table.healthPaths[service]
+	return path, ok
+}
+
+// Routes returns how many routes the table has.
+func (table *RouteTable) Routes() int {
+	count := 0
+	for _, list := range table.routes {
+		count += len(list)
+	}
+	return count
+}
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -28,6 +28,9 @@
 	Overdue
 	// Abandoned means that the caller went away.
 	Abandoned
+	// Misplaced means that another endpoint has the address and refused the
+	// request as not run.
+	Misplaced
 )
 
 // String returns the cause as Proxy-Status names it (RFC 9209).
@@ -35,6 +38,7 @@
 	return [...]string{
 		"connection_refused", "destination_unavailable", "destination_unavailable",
 		"connection_terminated", "http_response_incomplete", "http_response_timeout", "http_request_error",
+		"destination_not_found",
 	}[cause]
 }
 
@@ -53,12 +57,17 @@
 
 // ran returns what the failure says about whether the request ran.
 func (failure *Failure) ran() refuser.Ran {
-	if !failure.sent || failure.cause == Shed || failure.cause == Draining {
+	if !failure.sent || failure.refused() {
 		return refuser.NotRun
 	}
 	return refuser.Unknown
 }
 
+// refused reports whether the endpoint said that it did not run the request.
+func (failure *Failure) refused() bool {
+	return failure.cause == Shed || failure.cause == Draining || failure.cause == Misplaced
+}
+
 // Cause returns how the attempt ended.
 func (failure *Failure) Cause() Cause { return failure.cause }
 
@@ -82,6 +91,8 @@
 	// most bounds made.
 	most int
 	made int
+	// spare is how many attempts that surely did not run are not counted.
+	spare int
 	// ran is NotRun as long as every attempt surely did not run.
 	ran refuser.Ran
 }
@@ -90,18 +101,26 @@
 	return &attempts{repeatable: repeatable, most: most, ran: refuser.NotRun}
 }
 
+// begin counts an attempt that is about to be made.
+func (attempts *attempts) begin() { attempts.made++ }
+
+// left reports whether the request may still be sent once more.
+func (attempts *attempts) left() bool { return attempts.made < attempts.most }
+
 // failed takes in a failed attempt and reports whether another is allowed, as
 // far as the request itself goes; the retry budget has its own say. Replayable
 // says that the body can still be sent from its start.
 func (attempts *attempts) failed(failure *Failure, replayable bool) bool {
-	attempts.made++
 	if failure.ran() == refuser.Unknown {
 		attempts.ran = refuser.Unknown
+	} else if attempts.spare > 0 {
+		attempts.spare--
+		attempts.made--
 	}
 	if failure.cause == Abandoned || failure.cause == Overdue {
 		return false
 	}
-	if attempts.made >= attempts.most || !replayable {
+	if !attempts.left() || !replayable {
 		return false
 	}
 	return attempts.repeatable || attempts.ran == refuser.NotRun
@@ -117,7 +136,7 @@
 		kind = refuser.KindDeadline
 	case attempts.ran == refuser.Unknown:
 		kind = refuser.KindOutcomeUnknown
-	case failure.cause == Shed || failure.cause == Draining:
+	case failure.refused():
 		kind = refuser.KindOverloaded
 	case failure.cause == Unconnected:
 		kind = refuser.KindUnreachable
--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -2,7 +2,8 @@
 
 import "sync"
 
-// budgetMost bounds the retries that a service can save up.
+// budgetMost bounds the retries that a service can save up where SetBurst says
+// nothing else.
 const budgetMost = 20
 
 // Budget bounds retries to a share of the requests of each service. Each
@@ -12,7 +13,9 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	share float64
-	// saved holds each service's retries in hand, from 0 to budgetMost.
+	// burst bounds what is saved up; 0 for budgetMost.
+	burst float64
+	// saved holds each service's retries in hand, from 0 to the burst.
 	saved map[string]float64
 }
 
@@ -23,6 +26,21 @@
 	budget.share = share
 }
 
+// SetBurst bounds the retries that a service can save up.
+func (budget *Budget) SetBurst(burst float64) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.burst = burst
+}
+
+// most is the bound on what is saved up; mu is held.
+func (budget *Budget) most() float64 {
+	if budget.burst > 0 {
+		return budget.burst
+	}
+	return budgetMost
+}
+
 // earn takes in a first attempt.
 func (budget *Budget) earn(service string) {
 	budget.mu.Lock()
@@ -45,7 +63,7 @@
 func (budget *Budget) take(service string) float64 {
 	saved, ok := budget.saved[service]
 	if !ok {
-		return budgetMost
+		return budget.most()
 	}
 	return saved
 }
@@ -54,5 +72,5 @@
 	if budget.saved == nil {
 		budget.saved = make(map[string]float64)
 	}
-	budget.saved[service] = min(saved, budgetMost)
+	budget.saved[service] = min(saved, budget.most())
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -3,20 +3,17 @@
 import (
 	"context"
 	"crypto/sha256"
-	"fmt"
 	"time"
 
-	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/refuser"
 	"github.com/chivespool/chivespool/internal/router"
 )
 
-// call is one request under its rule.
+// call is one request under its plan.
 type call struct {
 	*Request
-	pool string
-	rule definer.Rule
-	// timeout is the tightest bound that caller, rule and settings give.
+	plan Plan
+	// timeout is the tightest bound that caller, plan and settings give.
 	timeout  time.Duration
 	attempts *attempts
 	// fingerprint identifies what is asked for.
@@ -32,34 +29,40 @@
 }
 
 func (dispatcher *Dispatcher) prepare(request *Request) (*call, error) {
-	configuration := dispatcher.configurations.Current()
-	if configuration == nil || configuration.Revision() == 0 {
-		return nil, refuser.New(refuser.KindNoConfiguration, refuser.NotRun, "no configuration is in force here yet")
+	plan, err := dispatcher.planner.Plan(request)
+	if err != nil {
+		return nil, err
 	}
-	service, ok := configuration.Service(request.service)
-	if !ok {
-		return nil, refuser.New(refuser.KindUnknownService, refuser.NotRun, fmt.Sprintf("no service %q", request.service))
+	most := plan.attempts
+	if most == 0 {
+		most = dispatcher.attempts
 	}
-	rule := configuration.RuleFor(request.service, request.method, request.target)
-	most := dispatcher.attempts
 	if most == 0 {
 		most = DefaultAttempts
 	}
-	return &call{
-		Request: request, pool: service.Pool(), rule: rule, timeout: dispatcher.bound(request, rule),
-		attempts: newAttempts(rule.Repeatable(), most), fingerprint: request.Fingerprint(), keyed: request.key != "" && !rule.Repeatable(),
-	}, nil
+	call := &call{
+		Request: request.planned(plan), plan: plan, timeout: dispatcher.bound(request, plan.timeout),
+		attempts: newAttempts(plan.repeatable, most), keyed: request.key != "" && !plan.repeatable,
+	}
+	call.attempts.spare = plan.spare
+	if call.timeout <= 0 {
+		return nil, refuser.New(refuser.KindDeadline, refuser.NotRun, "the deadline had passed on arrival")
+	}
+	if call.keyed || dispatcher.quarantiner != nil {
+		call.fingerprint = request.Fingerprint()
+	}
+	return call, nil
 }
 
-// bound returns the caller's own timeout, or the rule's, or the default.
-func (dispatcher *Dispatcher) bound(request *Request, rule definer.Rule) time.Duration {
+// bound returns the caller's own timeout, or the plan's, or the default.
+func (dispatcher *Dispatcher) bound(request *Request, planned time.Duration) time.Duration {
 	switch {
-	case request.timeout > 0 && rule.Deadline() > 0:
-		return min(request.timeout, rule.Deadline())
+	case request.timeout > 0 && planned > 0:
+		return min(request.timeout, planned)
 	case request.timeout > 0:
 		return request.timeout
-	case rule.Deadline() > 0:
-		return rule.Deadline()
+	case planned > 0:
+		return planned
 	case dispatcher.timeout > 0:
 		return dispatcher.timeout
 	}
@@ -70,11 +73,13 @@
 func (call *call) want(ctx context.Context) router.Request {
 	deadline, _ := ctx.Deadline()
 	return router.NewRequest(
-		call.pool,
-		router.InLane(call.rule.Lane()),
-		router.WithClass(call.service+" "+call.method+" "+call.rule.Prefix()),
-		router.WithPriority(call.rule.Priority()),
+		call.plan.pool,
+		router.InLane(call.plan.lane),
+		router.WithClass(call.plan.class),
+		router.WithPriority(call.plan.priority),
 		router.WithDeadline(deadline),
+		router.WithTarget(call.plan.target),
+		router.WithID(call.id),
 		router.Isolated(call.isolated),
 		router.Avoiding(call.tried...),
 	)
--- a/internal/dispatcher/deadly.go
+++ b/internal/dispatcher/deadly.go
@@ -39,7 +39,7 @@
 	case quarantiner == nil:
 	case failure == nil:
 		quarantiner.Completed(call.fingerprint)
-	case !failure.sent || failure.cause == Shed || failure.cause == Draining:
+	case !failure.sent || failure.refused():
 		quarantiner.Unsent(call.fingerprint)
 	case failure.cause == Lost || failure.cause == Malformed:
 		dispatcher.crashed(call)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -43,12 +44,13 @@
 
 // Router gives out slots.
 type Router interface {
-	Acquire(ctx context.Context, request router.Request) (*router.Slot, error)
+	// Acquire fails with a *refuser.Refusal.
+	Acquire(ctx context.Context, request router.Request) (Slot, error)
 }
 
 // Sender makes one attempt; its error is a [Failure].
 type Sender interface {
-	Send(ctx context.Context, address string, request *Request) (*Answer, error)
+	Send(ctx context.Context, endpoint definer.Endpoint, request *Request) (*Answer, error)
 }
 
 // Configurations tells what is in force.
@@ -63,14 +65,17 @@
 
 // Dispatcher carries requests; it is safe for concurrent use once set up.
 type Dispatcher struct {
-	configurations Configurations
-	router         Router
-	sender         Sender
-	recorder       Recorder
-	claimer        Claimer
-	quarantiner    Quarantiner
-	budget         Budget
-	meters         meters
+	planner     Planner
+	router      Router
+	sender      Sender
+	recorder    Recorder
+	claimer     Claimer
+	quarantiner Quarantiner
+	budget      Budget
+	meters      meters
+	// heldBytes is the size up to which the answer to a repeatable request is
+	// read whole; 0 for HeldAnswerBytes.
+	heldBytes int64
 	// settling counts the settlements under way, and wait has one item each.
 	settling atomic.Int64
 	wait     sync.WaitGroup
@@ -82,9 +87,21 @@
 
 // New returns a dispatcher over the parts that every request needs.
 func New(configurations Configurations, router Router, sender Sender, recorder Recorder) *Dispatcher {
-	return &Dispatcher{configurations: configurations, router: router, sender: sender, recorder: recorder}
+	planner := &rules{configurations: configurations}
+	return &Dispatcher{planner: planner, router: router, sender: sender, recorder: recorder}
 }
 
+// SetPlanner replaces the rules of the configuration.
+func (dispatcher *Dispatcher) SetPlanner(planner Planner) { dispatcher.planner = planner }
+
+// SetBurst bounds the retries that a service can save up, which is what it may
+// send beyond its share at one time.
+func (dispatcher *Dispatcher) SetBurst(burst float64) { dispatcher.budget.SetBurst(burst) }
+
+// SetHeldBytes sets the size up to which the answer to a repeatable request is
+// read whole before any of it goes to the caller.
+func (dispatcher *Dispatcher) SetHeldBytes(size int64) { dispatcher.heldBytes = size }
+
 // SetLimits sets the bounds on attempts and time, and the retry budget as a
 // share of a service's requests.
 func (dispatcher *Dispatcher) SetLimits(attempts int, timeout time.Duration, retryShare float64) {
@@ -130,53 +147,7 @@
 	return dispatcher.attempt(ctx, call)
 }
 
-// attempt sends the call until it is answered or may not be sent again.
-func (dispatcher *Dispatcher) attempt(ctx context.Context, call *call) (*Answer, error) {
-	dispatcher.budget.earn(call.service)
-	for {
-		if err := dispatcher.admit(ctx, call); err != nil {
-			return nil, err
-		}
-		answer, err := dispatcher.try(ctx, call)
-		if err == nil {
-			return answer, nil
-		}
-		failure := new(Failure)
-		if !errors.As(err, &failure) {
-			return nil, err
-		}
-		if !call.attempts.failed(failure, call.Replayable()) || !dispatcher.budget.spend(call.service) {
-			return nil, call.attempts.refusal(failure)
-		}
-		dispatcher.meters.retry()
-		dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" after "+failure.Error())
-		pause(ctx, call.attempts.made)
-	}
-}
-
-// try makes one attempt. Its error is a [Failure] or a *refuser.Refusal.
-func (dispatcher *Dispatcher) try(ctx context.Context, call *call) (*Answer, error) {
-	slot, err := dispatcher.acquire(ctx, call)
-	if err != nil {
-		dispatcher.acquit(call, NewFailure(Unconnected, false, err))
-		return nil, call.attempts.adjust(asRefusal(err))
-	}
-	endpoint := slot.Endpoint()
-	call.tried = append(call.tried, endpoint.Name())
-	flight := &flight{dispatcher: dispatcher, call: call, slot: slot, start: time.Now()}
-	answer, err := dispatcher.sender.Send(ctx, endpoint.Address(), call.Request)
-	call.elsewhere += time.Since(flight.start)
-	if err != nil {
-		failure := asFailure(err)
-		flight.fail(failure)
-		return nil, failure
-	}
-	answer.endpoint = endpoint.Name()
-	flight.follow(answer)
-	return hold(answer)
-}
-
-func (dispatcher *Dispatcher) acquire(ctx context.Context, call *call) (*router.Slot, error) {
+func (dispatcher *Dispatcher) acquire(ctx context.Context, call *call) (Slot, error) {
 	start := time.Now()
 	slot, err := dispatcher.router.Acquire(ctx, call.want(ctx))
 	queued := time.Since(start)
@@ -187,20 +158,52 @@
 
 // hold reads a small answer whole, so that a cut shows before any of it has
 // gone to the caller. The answer is closed on failure.
-func hold(answer *Answer) (*Answer, error) {
-	if answer.length < 0 || answer.length > HeldAnswerBytes {
+func (dispatcher *Dispatcher) hold(answer *Answer, repeatable bool) (*Answer, error) {
+	most, unknown := int64(HeldAnswerBytes), false
+	if repeatable && dispatcher.heldBytes > 0 {
+		most, unknown = dispatcher.heldBytes, true
+	}
+	if answer.length > most || (answer.length < 0 && !unknown) {
+		return answer, nil
+	}
+	body := bytes.NewBuffer(make([]byte, 0, max(answer.length, 0)+bytes.MinRead))
+	_, err := body.ReadFrom(io.LimitReader(answer.body, most))
+	if err == nil && int64(body.Len()) == most && answer.length != most {
+		// Longer than what is held: the rest is streamed.
+		answer.body = &prefixedBody{Reader: io.MultiReader(body, answer.body), Closer: answer.body}
 		return answer, nil
 	}
-	body := bytes.NewBuffer(make([]byte, 0, answer.length+bytes.MinRead))
-	_, err := body.ReadFrom(answer.body)
-	_ = answer.body.Close()
 	if err != nil {
+		_ = answer.body.Close()
 		return nil, asFailure(err)
 	}
+	if err := drained(answer.body); err != nil {
+		_ = answer.body.Close()
+		return nil, asFailure(err)
+	}
+	_ = answer.body.Close()
+	if answer.length < 0 {
+		answer.length = int64(body.Len())
+	}
 	answer.body = heldBody(body.Bytes())
 	return answer, nil
 }
 
+// drained reads the end of a body whose bytes have all been read.
+func drained(body io.Reader) error {
+	var none [1]byte
+	if _, err := body.Read(none[:]); err != nil && err != io.EOF {
+		return err
+	}
+	return nil
+}
+
+// prefixedBody is a body whose first part was read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // refused notes a refusal on the time line and returns it.
 func (dispatcher *Dispatcher) refused(request *Request, err error) error {
 	refusal := asRefusal(err)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -35,7 +35,7 @@
 	"overdue":     NewFailure(Overdue, true, nil),
 }
 
-func (scriptedSender *scriptedSender) Send(_ context.Context, _ string, request *Request) (*Answer, error) {
+func (scriptedSender *scriptedSender) Send(_ context.Context, _ definer.Endpoint, request *Request) (*Answer, error) {
 	step := scriptedSender.script[0]
 	scriptedSender.script = scriptedSender.script[1:]
 	if failure := scriptedCauses[step]; failure != nil {
@@ -98,7 +98,7 @@
 	host := definer.NewHost("host-1", "127.0.0.1:1", "127.0.0.1:2", definer.NewPlace("nairobi", "nairobi-a"), 1)
 	routers := &router.Router{}
 	routers.Update(configuration, host, []definer.Host{host})
-	dispatcher := New(fixedConfiguration{configuration}, routers, sender, &recorder.Recorder{})
+	dispatcher := New(fixedConfiguration{configuration}, Homes{Router: routers}, sender, &recorder.Recorder{})
 	dispatcher.SetLimits(3, DefaultTimeout, 0.1)
 	return dispatcher
 }
--- a/internal/dispatcher/flight.go
+++ b/internal/dispatcher/flight.go
@@ -16,7 +16,7 @@
 type flight struct {
 	dispatcher *Dispatcher
 	call       *call
-	slot       *router.Slot
+	slot       Slot
 	start      time.Time
 }
 
@@ -64,6 +64,7 @@
 	Malformed:   router.Crashed,
 	Overdue:     router.Cancelled,
 	Abandoned:   router.Cancelled,
+	Misplaced:   router.Draining,
 }
 
 // heldBody returns a body that is in memory.
--- a/internal/dispatcher/meters.go
+++ b/internal/dispatcher/meters.go
@@ -13,6 +13,7 @@
 	registry metrics.Registry
 	requests metrics.Counter
 	retries  metrics.Counter
+	hedges   metrics.Counter
 	// queued is the time that attempts waited for a slot.
 	queued metrics.Timer
 	// added is the time that requests spent here, less the wait for a slot and
@@ -27,6 +28,7 @@
 		registry: registry,
 		requests: metrics.GetOrRegisterCounter("dispatcher.requests", registry),
 		retries:  metrics.GetOrRegisterCounter("dispatcher.retries", registry),
+		hedges:   metrics.GetOrRegisterCounter("dispatcher.hedges", registry),
 		queued:   metrics.GetOrRegisterTimer("dispatcher.queued", registry),
 		added:    metrics.GetOrRegisterTimer("dispatcher.added", registry),
 	}
@@ -44,6 +46,12 @@
 	}
 }
 
+func (meters *meters) hedge() {
+	if meters.hedges != nil {
+		meters.hedges.Inc(1)
+	}
+}
+
 func (meters *meters) refusal(kind refuser.Kind) {
 	if meters.registry != nil {
 		metrics.GetOrRegisterCounter("dispatcher.refused."+string(kind), meters.registry).Inc(1)
--- /dev/null
+++ b/internal/dispatcher/race.go
@@ -0,0 +1,202 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/recorder"
+	"github.com/chivespool/chivespool/internal/router"
+)
+
+// race is the attempts of one call. The request's own task takes the slots and
+// decides; each attempt is a task that sends and waits. At most one attempt
+// runs beside another: a hedge, which is sent when the first one takes long.
+type race struct {
+	dispatcher *Dispatcher
+	call       *call
+	ctx        context.Context
+	// running counts the attempts whose outcome is still to come.
+	running int
+	// cancels ends each attempt that was started.
+	cancels []context.CancelFunc
+	// outcomes carries how attempts ended.
+	outcomes chan outcome
+	// over is closed once the call has its answer or its refusal.
+	over chan struct{}
+}
+
+// outcome is how one attempt ended.
+type outcome struct {
+	answer *Answer
+	err    error
+	// number counts the attempts of the call from 0.
+	number int
+}
+
+// attempt sends the call until it is answered or may not be sent again.
+func (dispatcher *Dispatcher) attempt(ctx context.Context, call *call) (*Answer, error) {
+	dispatcher.budget.earn(call.service)
+	race := &race{
+		dispatcher: dispatcher, call: call, ctx: ctx,
+		outcomes: make(chan outcome), over: make(chan struct{}),
+	}
+	winner := -1
+	defer func() { race.end(winner) }()
+	if err := race.start(); err != nil {
+		return nil, err
+	}
+	hedge := time.NewTimer(hedgeDelay(call.plan))
+	defer hedge.Stop()
+	for {
+		wait := time.Now()
+		select {
+		case outcome := <-race.outcomes:
+			call.elsewhere += time.Since(wait)
+			race.running--
+			if outcome.err == nil {
+				winner = outcome.number
+				return outcome.answer, nil
+			}
+			if err := race.failed(outcome.err); err != nil {
+				return nil, err
+			}
+		case <-hedge.C:
+			call.elsewhere += time.Since(wait)
+			race.hedge()
+		}
+	}
+}
+
+// failed takes in a failed attempt: it starts another where that is allowed,
+// and returns why the call ends where none runs any more.
+func (race *race) failed(err error) error {
+	call, dispatcher := race.call, race.dispatcher
+	failure := new(Failure)
+	if !errors.As(err, &failure) {
+		if race.running > 0 {
+			return nil
+		}
+		return err
+	}
+	again := call.attempts.failed(failure, call.Replayable())
+	if race.running > 0 {
+		return nil
+	}
+	if !again || (failure.sent && !dispatcher.budget.spend(call.service)) {
+		return call.attempts.refusal(failure)
+	}
+	dispatcher.meters.retry()
+	dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" after "+failure.Error())
+	if failure.sent {
+		pause(race.ctx, call.attempts.made)
+	}
+	return race.start()
+}
+
+// hedge starts an attempt beside one that takes long, where the call and the
+// budget allow it.
+func (race *race) hedge() {
+	call, dispatcher := race.call, race.dispatcher
+	if race.running != 1 || !call.plan.repeatable || !call.Replayable() || !call.attempts.left() {
+		return
+	}
+	if !dispatcher.budget.spend(call.service) {
+		return
+	}
+	dispatcher.meters.hedge()
+	if err := race.start(); err != nil {
+		// The first attempt still runs; its outcome decides.
+		dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" no hedge: "+err.Error())
+	}
+}
+
+// start takes a slot and starts an attempt. Its error is a *refuser.Refusal.
+func (race *race) start() error {
+	dispatcher, call := race.dispatcher, race.call
+	if err := dispatcher.admit(race.ctx, call); err != nil {
+		return err
+	}
+	slot, err := dispatcher.acquire(race.ctx, call)
+	if err != nil {
+		dispatcher.acquit(call, NewFailure(Unconnected, false, err))
+		return call.attempts.adjust(asRefusal(err))
+	}
+	call.tried = append(call.tried, slot.Endpoint().Name())
+	call.attempts.begin()
+	ctx, cancel := context.WithCancel(race.ctx)
+	attempt := &trial{
+		race: race, ctx: ctx, number: len(race.cancels),
+		flight: flight{dispatcher: dispatcher, call: call, slot: slot, start: time.Now()},
+	}
+	race.cancels = append(race.cancels, cancel)
+	race.running++
+	dispatcher.wait.Add(1)
+	go attempt.run()
+	return nil
+}
+
+// end stops all attempts but the winner, whose answer still needs its own.
+func (race *race) end(winner int) {
+	close(race.over)
+	for number, cancel := range race.cancels {
+		if number != winner {
+			cancel()
+		}
+	}
+}
+
+// trial is one attempt.
+type trial struct {
+	race   *race
+	ctx    context.Context
+	number int
+	flight flight
+}
+
+func (trial *trial) run() {
+	defer trial.race.dispatcher.wait.Done()
+	answer, err := trial.send()
+	select {
+	case trial.race.outcomes <- outcome{answer: answer, err: err, number: trial.number}:
+	case <-trial.race.over:
+		if err == nil {
+			_ = answer.Close()
+		}
+	}
+}
+
+// send makes the attempt. Its error is a [Failure].
+func (trial *trial) send() (*Answer, error) {
+	flight := &trial.flight
+	endpoint := flight.slot.Endpoint()
+	answer, err := flight.dispatcher.sender.Send(trial.ctx, endpoint, flight.call.Request)
+	if err != nil {
+		failure := asFailure(err)
+		flight.fail(failure)
+		return nil, failure
+	}
+	answer.endpoint = endpoint.Name()
+	flight.follow(answer)
+	return flight.dispatcher.hold(answer, flight.call.plan.repeatable)
+}
+
+// Slot is the right to run one request on an endpoint.
+type Slot interface {
+	Endpoint() definer.Endpoint
+	// Release ends the use of the slot. Only the first call has an effect.
+	Release(result router.Result)
+}
+
+// Homes gives out the slots of a router of homes.
+type Homes struct{ *router.Router }
+
+// Acquire takes a slot; its error is a *refuser.Refusal.
+func (homes Homes) Acquire(ctx context.Context, request router.Request) (Slot, error) {
+	slot, err := homes.Router.Acquire(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return slot, nil
+}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -17,9 +17,14 @@
 
 // Request is a caller's request, apart from how it was encoded.
 type Request struct {
-	id      string
+	id string
+	// service is what the caller asks for; empty where authority and target
+	// select it.
 	service string
-	method  string
+	// authority is the host that the caller addressed; empty where service
+	// names the destination.
+	authority string
+	method    string
 	// target is the path and query that the backend server gets.
 	target string
 	header http.Header
@@ -33,6 +38,8 @@
 	key string
 	// timeout is the caller's bound, or 0.
 	timeout time.Duration
+	// once is true where the request must not run more than once.
+	once bool
 }
 
 // NewRequest returns a request without a body.
@@ -83,12 +90,33 @@
 	return &clone
 }
 
+// WithAuthority returns a copy that is addressed to a host name.
+func (request *Request) WithAuthority(authority string) *Request {
+	clone := *request
+	clone.authority = authority
+	return &clone
+}
+
+// planned returns a copy that plan applies to.
+func (request *Request) planned(plan Plan) *Request {
+	clone := *request
+	clone.service = plan.service
+	clone.once = !plan.repeatable
+	return &clone
+}
+
 // ID returns the request's identifier, unique over the fleet.
 func (request *Request) ID() string { return request.id }
 
 // Service returns the name of the service asked for.
 func (request *Request) Service() string { return request.service }
 
+// Authority returns the host that the caller addressed, or empty.
+func (request *Request) Authority() string { return request.authority }
+
+// Once reports whether the request must not run more than once.
+func (request *Request) Once() bool { return request.once }
+
 // Method returns the HTTP method.
 func (request *Request) Method() string { return request.method }
 
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,425 @@
+// Package placer decides which endpoint runs a request. Load shifts faster
+// than any report travels, so the load is asked for at the moment of the
+// choice: Rings says which endpoints to ask, nearest first, and Choose picks
+// one by what they said, or says that none can serve in time.
+//
+// The package does no I/O and reads no clock. The load it answers: many
+// endpoints whose pace changes several times within one request's run, so that
+// what an earlier answer told is worth little, while an endpoint that broke
+// requests a moment ago is likely to break the next one.
+package placer
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// How many endpoints are asked.
+const (
+	// ringSize is how many endpoints are asked at once. The best of four is seldom
+	// among the slow quarter of a service (1 in 256).
+	ringSize = 4
+	// ringMost bounds the rings, and with them the health checks, of a request.
+	ringMost = 3
+)
+
+// What a choice costs beside the run, as time.
+const (
+	// regionTrip is what a request between regions takes longer, there and back.
+	regionTrip = 24 * time.Millisecond
+	// centreTrip is what a request between data centres of a region takes longer.
+	centreTrip = 2 * time.Millisecond
+	// regionByte and centreByte weigh a byte that crosses billed links: 100 kB
+	// between regions weigh as much as 150 ms, between data centres as 80 ms.
+	regionByte = 1500 * time.Nanosecond
+	centreByte = 800 * time.Nanosecond
+)
+
+// What is assumed of endpoints.
+const (
+	// crowding is the share of slots in use from which work slows down.
+	crowding = 0.8
+	// crowdedPace is how many times as long it takes then.
+	crowdedPace = 1.7
+	// coldPace is how many times as long work takes just after a start.
+	coldPace = 2
+	// unhealthyPace weighs an endpoint that says it is ill; some lie.
+	unhealthyPace = 8
+	// troublePace is how many times longer work is taken to be for each request
+	// that an endpoint broke lately.
+	troublePace = 1.5
+	// troubleHalf is the time in which half of the trouble is forgotten.
+	troubleHalf = 3 * time.Second
+	// troubleMost bounds the trouble that is remembered of an endpoint.
+	troubleMost = 6
+	// outLeast and outMost bound the time for which an endpoint that can't be
+	// reached is left alone; it doubles with each failure.
+	outLeast = 250 * time.Millisecond
+	outMost  = 4 * time.Second
+)
+
+// What is learned of a class of requests.
+const (
+	// learningShare is the weight of the newest request.
+	learningShare = 0.1
+	// firstWorkShare is the part of the time to answer that a request of a class
+	// is taken to run for before one has been seen.
+	firstWorkShare = 1.0 / 3
+	// firstWork is the same for a class that has no such time.
+	firstWork = 100 * time.Millisecond
+)
+
+// Placer places the requests of one host. The zero value stands nowhere; make
+// one with New. It is safe for concurrent use.
+type Placer struct {
+	place definer.Place
+	// mu guards the fields below.
+	mu sync.Mutex
+	// records holds what is remembered of each endpoint by name.
+	records map[string]*record
+	// classes holds what is learned of each class of requests.
+	classes map[string]*class
+	random  *rand.Rand
+}
+
+// record is what is remembered of an endpoint.
+type record struct {
+	// trouble counts the requests that the endpoint broke, fading with time.
+	trouble   float64
+	troubleAt time.Time
+	// out is until when the endpoint is left alone, and failures how often in a
+	// row it could not be reached.
+	out      time.Time
+	failures int
+	// running counts this host's requests there.
+	running int
+}
+
+// class is what is learned of a class of requests.
+type class struct {
+	// work is the run time at the usual pace; bytes is the size of an answer.
+	work  float64
+	bytes float64
+}
+
+// New returns a placer for a host at place. Requests with the same seed and
+// history are placed alike.
+func New(place definer.Place, seed uint64) *Placer {
+	return &Placer{
+		place: place, records: make(map[string]*record), classes: make(map[string]*class),
+		random: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Want is what a placer has to know of a request.
+type Want struct {
+	class string
+	// left is the time until the deadline; target is that within which an answer
+	// is of full use, or 0.
+	left   time.Duration
+	target time.Duration
+	// avoid names endpoints that were tried already.
+	avoid []string
+}
+
+// NewWant returns a request of class with left until its deadline.
+func NewWant(class string, left, target time.Duration, avoid []string) Want {
+	return Want{class: class, left: left, target: target, avoid: avoid}
+}
+
+// Rings returns the endpoints to ask, in the order of asking: each ring at
+// once, the next one only where Choose finds nothing good in those before.
+func (placer *Placer) Rings(now time.Time, endpoints []definer.Endpoint, want Want) [][]definer.Endpoint {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	tiers := make([][]definer.Endpoint, tierCount+1)
+	for _, endpoint := range endpoints {
+		tier := placer.tier(endpoint)
+		if slices.Contains(want.avoid, endpoint.Name()) || placer.isOut(now, endpoint.Name()) {
+			tier = tierCount
+		}
+		tiers[tier] = append(tiers[tier], endpoint)
+	}
+	var order []definer.Endpoint
+	for _, tier := range tiers {
+		placer.shuffle(now, tier)
+		order = append(order, tier...)
+	}
+	if usable := len(endpoints) - len(tiers[tierCount]); usable > 0 {
+		order = order[:usable]
+	}
+	var rings [][]definer.Endpoint
+	for ring := range slices.Chunk(order, ringSize) {
+		if len(rings) < ringMost {
+			rings = append(rings, ring)
+		}
+	}
+	return rings
+}
+
+// tiers of distance.
+const (
+	tierCentre = iota
+	tierRegion
+	tierFar
+	tierCount
+)
+
+func (placer *Placer) tier(endpoint definer.Endpoint) int {
+	switch {
+	case endpoint.Place() == placer.place:
+		return tierCentre
+	case endpoint.Place().Region() == placer.place.Region():
+		return tierRegion
+	}
+	return tierFar
+}
+
+// shuffle orders endpoints at random, those with trouble last; mu is held.
+func (placer *Placer) shuffle(now time.Time, endpoints []definer.Endpoint) {
+	placer.random.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	slices.SortStableFunc(endpoints, func(a, b definer.Endpoint) int {
+		return int(placer.trouble(now, a.Name())) - int(placer.trouble(now, b.Name()))
+	})
+}
+
+// Asked is an endpoint with what it said of itself.
+type Asked struct {
+	endpoint definer.Endpoint
+	report   definer.Report
+}
+
+// NewAsked returns an endpoint that was asked and answered.
+func NewAsked(endpoint definer.Endpoint, report definer.Report) Asked {
+	return Asked{endpoint: endpoint, report: report}
+}
+
+// Choice is the outcome of a choice.
+type Choice struct {
+	endpoint definer.Endpoint
+	// found is false where no endpoint answered.
+	found bool
+	// run is how long the request is expected to take there.
+	run time.Duration
+	// good is false where a wider search may find a better endpoint.
+	good bool
+	// late is true where an answer would come after the deadline.
+	late bool
+	// full is true where the endpoint has no room for another request.
+	full bool
+}
+
+// Endpoint returns the endpoint that was chosen.
+func (choice Choice) Endpoint() definer.Endpoint { return choice.endpoint }
+
+// Found reports whether there is an endpoint at all.
+func (choice Choice) Found() bool { return choice.found }
+
+// Run returns how long the request is expected to take.
+func (choice Choice) Run() time.Duration { return choice.run }
+
+// Good reports whether a wider search is unlikely to find a better one.
+func (choice Choice) Good() bool { return choice.found && choice.good }
+
+// Hopeless reports whether the request can't be answered in time there.
+func (choice Choice) Hopeless() bool { return !choice.found || choice.late || choice.full }
+
+// goodShare is the part of the time to answer within which an expected run is
+// good enough to look no further.
+const goodShare = 0.6
+
+// fullQueue is how many requests may wait at an endpoint for each of its slots
+// before it counts as full.
+const fullQueue = 2
+
+// Choose picks the endpoint with the least expected cost.
+func (placer *Placer) Choose(now time.Time, asked []Asked, want Want) Choice {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	learned := placer.class(want)
+	best, least := Choice{}, math.Inf(1)
+	for _, candidate := range asked {
+		run := placer.expect(now, candidate, learned)
+		cost := run + placer.distance(candidate.endpoint, learned)
+		if slices.Contains(want.avoid, candidate.endpoint.Name()) {
+			cost *= unhealthyPace
+		}
+		if cost >= least {
+			continue
+		}
+		least = cost
+		report := candidate.report
+		best = Choice{
+			endpoint: candidate.endpoint, found: true, run: time.Duration(run),
+			full: report.Slots() > 0 && report.Waiting() >= fullQueue*report.Slots(),
+		}
+	}
+	best.late = best.found && best.run > want.left
+	bound := want.left
+	if want.target > 0 {
+		bound = min(bound, want.target)
+	}
+	best.good = float64(best.run) <= goodShare*float64(bound) && !best.full
+	return best
+}
+
+// expect returns how long a request is expected to take, in nanoseconds; mu is
+// held.
+func (placer *Placer) expect(now time.Time, asked Asked, learned *class) float64 {
+	report := asked.report
+	pace := report.Pace()
+	if pace <= 0 {
+		pace = 1
+	}
+	if asked.endpoint.Cold() > 0 {
+		pace *= coldPace
+	}
+	if !report.Healthy() {
+		pace *= unhealthyPace
+	}
+	pace *= 1 + troublePace*placer.trouble(now, asked.endpoint.Name())
+	slots := report.Slots()
+	if slots == 0 {
+		slots = asked.endpoint.Slots()
+	}
+	running := report.Running()
+	if report.Slots() == 0 {
+		running = placer.record(asked.endpoint.Name()).running
+	}
+	busy := float64(running+1) / float64(slots)
+	if busy > crowding {
+		pace *= crowdedPace
+	}
+	run := learned.work * pace
+	if running >= slots {
+		// On average the first slot comes free after an even part of a run.
+		run += learned.work * pace * float64(report.Waiting()+1) / float64(slots)
+	}
+	return run
+}
+
+// distance returns what the way to an endpoint costs, in nanoseconds.
+func (placer *Placer) distance(endpoint definer.Endpoint, learned *class) float64 {
+	switch placer.tier(endpoint) {
+	case tierCentre:
+		return 0
+	case tierRegion:
+		return float64(centreTrip) + learned.bytes*float64(centreByte)
+	}
+	return float64(regionTrip) + learned.bytes*float64(regionByte)
+}
+
+func (placer *Placer) class(want Want) *class {
+	found, ok := placer.classes[want.class]
+	if !ok {
+		work := float64(firstWork)
+		if want.target > 0 {
+			work = firstWorkShare * float64(want.target)
+		}
+		found = &class{work: work}
+		placer.classes[want.class] = found
+	}
+	return found
+}
+
+func (placer *Placer) record(name string) *record {
+	found, ok := placer.records[name]
+	if !ok {
+		found = &record{}
+		placer.records[name] = found
+	}
+	return found
+}
+
+// trouble returns what is left of the trouble with an endpoint; mu is held.
+func (placer *Placer) trouble(now time.Time, name string) float64 {
+	found, ok := placer.records[name]
+	if !ok || found.trouble == 0 {
+		return 0
+	}
+	return found.trouble * math.Exp2(-float64(now.Sub(found.troubleAt))/float64(troubleHalf))
+}
+
+func (placer *Placer) isOut(now time.Time, name string) bool {
+	found, ok := placer.records[name]
+	return ok && now.Before(found.out)
+}
+
+// Began notes that a request was sent to the endpoint called name.
+func (placer *Placer) Began(name string) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	placer.record(name).running++
+}
+
+// Ended notes that a request that was sent to the endpoint has ended.
+func (placer *Placer) Ended(name string) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	placer.record(name).running--
+}
+
+// Answered learns from a whole answer: how long the request ran for at the
+// pace it was chosen by, and how many bytes the answer had.
+func (placer *Placer) Answered(now time.Time, name string, want Want, run time.Duration, pace float64, bytes int64) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	found := placer.record(name)
+	found.trouble = placer.trouble(now, name) * (1 - learningShare)
+	found.troubleAt = now
+	found.failures = 0
+	learned := placer.class(want)
+	learned.work += learningShare * (float64(run)/max(pace, 1) - learned.work)
+	learned.bytes += learningShare * (float64(bytes) - learned.bytes)
+}
+
+// Broke learns that the endpoint broke a request; weight says how sure that is,
+// from 0 to 1.
+func (placer *Placer) Broke(now time.Time, name string, weight float64) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	found := placer.record(name)
+	found.trouble = min(placer.trouble(now, name)+weight, troubleMost)
+	found.troubleAt = now
+}
+
+// Missed learns that the endpoint could not be reached.
+func (placer *Placer) Missed(now time.Time, name string) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	found := placer.record(name)
+	found.out = now.Add(min(outLeast<<min(found.failures, 8), outMost))
+	found.failures++
+}
+
+// Reached learns that the endpoint answered a health check.
+func (placer *Placer) Reached(name string) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	if found, ok := placer.records[name]; ok {
+		found.failures = 0
+		found.out = time.Time{}
+	}
+}
+
+// Forget drops what is remembered of endpoints that are not among known.
+func (placer *Placer) Forget(known map[string]bool) {
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	for name, record := range placer.records {
+		if !known[name] && record.running == 0 {
+			delete(placer.records, name)
+		}
+	}
+}
+
+// Name returns the name of the endpoint that was asked.
+func (asked Asked) Name() string { return asked.endpoint.Name() }
+
+// Pace returns how many times as long as usual work takes there, or 0.
+func (asked Asked) Pace() float64 { return asked.report.Pace() }
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -46,6 +46,8 @@
 	KindClaimsFull       Kind = "claims-full"
 	KindLeaving          Kind = "host-leaving"
 	KindNoConfiguration  Kind = "no-configuration"
+	KindNoRoute          Kind = "no-route"
+	KindTooLarge         Kind = "too-large"
 )
 
 // Refusal is the error that ends a request without an answer of the backend
@@ -122,5 +124,7 @@
 	KindKeyMismatch:      "use a new Idempotency-Key for a different request",
 	KindClaimsFull:       "wait until recorded keys expire, or ask an operator to raise claims.most",
 	KindLeaving:          "ask where to go again and send the request there",
+	KindNoRoute:          "check the host and the path, or ask an operator for a route",
+	KindTooLarge:         "send a smaller request, or ask an operator to raise the limit",
 	KindNoConfiguration:  "wait until the host has read the configuration, or ask another host",
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -16,6 +16,10 @@
 	priority int
 	// deadline is zero where the request has none.
 	deadline time.Time
+	// target is the time within which an answer is of full use; 0 for none.
+	target time.Duration
+	// id names the request in logs.
+	id string
 	// isolated keeps the request off an endpoint that runs another isolated one.
 	isolated bool
 	// avoid names endpoints that are used only where there is no other.
@@ -41,6 +45,14 @@
 	return func(request *Request) { request.deadline = deadline }
 }
 
+// WithTarget says within what time an answer is of full use; 0 for none.
+func WithTarget(target time.Duration) RequestOption {
+	return func(request *Request) { request.target = target }
+}
+
+// WithID names the request in logs.
+func WithID(id string) RequestOption { return func(request *Request) { request.id = id } }
+
 // Isolated lets the request run beside no other isolated one on an endpoint.
 func Isolated(isolated bool) RequestOption {
 	return func(request *Request) { request.isolated = isolated }
@@ -76,6 +88,12 @@
 // Deadline returns the bound, or the zero time.
 func (request Request) Deadline() time.Time { return request.deadline }
 
+// Target returns the time within which an answer is of full use, or 0.
+func (request Request) Target() time.Duration { return request.target }
+
+// ID names the request in logs.
+func (request Request) ID() string { return request.id }
+
 // Isolated reports whether the request runs beside no other isolated one.
 func (request Request) Isolated() bool { return request.isolated }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,7 +6,7 @@
 //	links      messenger, lender
 //	fleet      monitor
 //	platform   follower, claimer, quarantiner, settlements
-//	routing    updater, pusher, puller
+//	routing    sender, updater, pusher, puller
 //	front      acceptor, usher
 //
 // The usher stops first: it tells the peers that the host leaves and waits
@@ -145,7 +145,7 @@
 	daemon.router.SetRegionBudget(int64(settings.RegionBytesPerSecond()))
 	daemon.messenger.OnDown(daemon.router.ForgetBorrower)
 	daemon.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeadBytes())
-	daemon.dispatcher = dispatcher.New(daemon.follower, daemon.router, daemon.sender, daemon.recorder)
+	daemon.dispatcher = dispatcher.New(daemon.follower, dispatcher.Homes{Router: daemon.router}, daemon.sender, daemon.recorder)
 	daemon.dispatcher.SetLimits(settings.Attempts(), settings.RequestTimeout(), settings.RetryShare())
 	daemon.dispatcher.SetRegistry(daemon.registry)
 	daemon.dispatcher.SetClaimer(daemon.claimer)
@@ -201,6 +201,7 @@
 	platform.Add("claimer", daemon.claimer)
 	platform.Add("quarantiner", daemon.quarantiner)
 	platform.Add("settlements", &settlements{daemon: daemon})
+	routing.Add("sender", daemon.sender)
 	routing.Add("updater", &updater{daemon: daemon})
 	routing.Add("pusher", &pusher{daemon: daemon})
 	routing.Add("puller", &puller{daemon: daemon})
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
 )
 
@@ -70,7 +71,9 @@
 	}
 }
 
-func (backend *backend) address() string { return backend.listener.Addr().String() }
+func (backend *backend) endpoint() definer.Endpoint {
+	return definer.NewEndpoint("ledger-1", "ledger", backend.listener.Addr().String(), definer.Place{}, 4)
+}
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -115,13 +118,13 @@
 		t.Run(fmt.Sprint(test.method, len(test.body)), func(t *testing.T) {
 			backend := startBackend(t, whole, "", whole)
 			sender := newSender(t)
-			answer, err := sender.Send(t.Context(), backend.address(), newRequest(t, test.method, test.body, test.header))
+			answer, err := sender.Send(t.Context(), backend.endpoint(), newRequest(t, test.method, test.body, test.header))
 			if err != nil {
 				t.Fatal(err)
 			}
 			_, _ = io.Copy(io.Discard, answer)
 			_ = answer.Close()
-			_, err = sender.Send(t.Context(), backend.address(), newRequest(t, test.method, test.body, test.header))
+			_, err = sender.Send(t.Context(), backend.endpoint(), newRequest(t, test.method, test.body, test.header))
 			wantFailure(t, err, dispatcher.Lost)
 			if got := backend.received.Load(); got != 2 {
 				t.Fatalf("the backend server received %d requests, want 2", got)
@@ -146,7 +149,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			backend := startBackend(t, test.script)
-			_, err := newSender(t).Send(t.Context(), backend.address(), newRequest(t, http.MethodGet, "", http.Header{}))
+			_, err := newSender(t).Send(t.Context(), backend.endpoint(), newRequest(t, http.MethodGet, "", http.Header{}))
 			wantFailure(t, err, test.cause)
 		})
 	}
@@ -161,7 +164,7 @@
 			backend := startBackend(t, script, "")
 			sender := newSender(t)
 			request := newRequest(t, http.MethodGet, "", http.Header{"Connection": {"close"}})
-			answer, err := sender.Send(t.Context(), backend.address(), request)
+			answer, err := sender.Send(t.Context(), backend.endpoint(), request)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -173,9 +176,9 @@
 
 func TestUnconnectedIsNotRun(t *testing.T) {
 	backend := startBackend(t)
-	address := backend.address()
+	endpoint := backend.endpoint()
 	_ = backend.listener.Close()
-	_, err := newSender(t).Send(t.Context(), address, newRequest(t, http.MethodPost, "x", http.Header{}))
+	_, err := newSender(t).Send(t.Context(), endpoint, newRequest(t, http.MethodPost, "x", http.Header{}))
 	wantFailure(t, err, dispatcher.Unconnected)
 }
 
@@ -183,11 +186,11 @@
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	backend := startBackend(t, whole)
-	_, err := newSender(t).Send(ended, backend.address(), newRequest(t, http.MethodPost, "x", http.Header{}))
+	_, err := newSender(t).Send(ended, backend.endpoint(), newRequest(t, http.MethodPost, "x", http.Header{}))
 	wantFailure(t, err, dispatcher.Abandoned)
 	overdue, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
 	defer cancel()
-	_, err = newSender(t).Send(overdue, backend.address(), newRequest(t, http.MethodPost, "x", http.Header{}))
+	_, err = newSender(t).Send(overdue, backend.endpoint(), newRequest(t, http.MethodPost, "x", http.Header{}))
 	wantFailure(t, err, dispatcher.Overdue)
 }
 
@@ -195,7 +198,7 @@
 	backend := startBackend(t, "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT in_flight=3, slots=4\r\n"+
 		"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\nContent-Length: 0\r\n\r\n")
 	header := http.Header{"Connection": {"X-Secret"}, "X-Secret": {"1"}, "Te": {"trailers"}, "X-Kept": {"2"}}
-	answer, err := newSender(t).Send(t.Context(), backend.address(), newRequest(t, http.MethodGet, "", header))
+	answer, err := newSender(t).Send(t.Context(), backend.endpoint(), newRequest(t, http.MethodGet, "", header))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/setter/check.go
+++ b/internal/setter/check.go
@@ -85,6 +85,21 @@
 	}
 }
 
+func regions(field func(*Settings) *map[string]string) check {
+	return func(settings *Settings, value string) error {
+		found := make(map[string]string)
+		for pair := range strings.SplitSeq(value, ",") {
+			dataCentre, region, ok := strings.Cut(strings.TrimSpace(pair), "=")
+			if !ok || dataCentre == "" || region == "" {
+				return errRefused
+			}
+			found[dataCentre] = region
+		}
+		*field(settings) = found
+		return nil
+	}
+}
+
 func baseURL(field func(*Settings) *string) check {
 	return func(settings *Settings, value string) error {
 		parsed, err := url.Parse(value)
--- a/internal/setter/settings.go
+++ b/internal/setter/settings.go
@@ -20,6 +20,14 @@
 	hostList        string
 	platformTimeout time.Duration
 
+	readyAddress     string
+	directoryAddress string
+	metricsAddress   string
+	regions          map[string]string
+	applyBound       time.Duration
+	retrySlack       int
+	plainPeers       string
+
 	headerBytes     int
 	headerTimeout   time.Duration
 	idleTimeout     time.Duration
@@ -75,6 +83,33 @@
 // PlatformTimeout bounds one call to the platform.
 func (settings *Settings) PlatformTimeout() time.Duration { return settings.platformTimeout }
 
+// ReadyAddress returns where the platform asks whether a gateway is ready, as
+// IP:port, or empty.
+func (settings *Settings) ReadyAddress() string { return settings.readyAddress }
+
+// DirectoryAddress returns where callers ask which addresses to use, as
+// IP:port, or empty.
+func (settings *Settings) DirectoryAddress() string { return settings.directoryAddress }
+
+// MetricsAddress returns where a gateway shows its metrics, as IP:port, or empty.
+func (settings *Settings) MetricsAddress() string { return settings.metricsAddress }
+
+// Regions returns the region of each data centre.
+func (settings *Settings) Regions() map[string]string { return settings.regions }
+
+// ApplyBound is within what time a change must be in force on every gateway.
+func (settings *Settings) ApplyBound() time.Duration { return settings.applyBound }
+
+// RetrySlack is how many retries for a service all gateways may send beyond
+// the share.
+func (settings *Settings) RetrySlack() int { return settings.retrySlack }
+
+// PlainPeers reports whether links to peers may go without TLS.
+func (settings *Settings) PlainPeers() bool { return settings.plainPeers == "yes" }
+
+// Gateway reports whether the settings are those of a gateway.
+func (settings *Settings) Gateway() bool { return settings.directoryAddress != "" }
+
 // HeaderBytes bounds the header of a caller's request.
 func (settings *Settings) HeaderBytes() int { return settings.headerBytes }
 
@@ -164,10 +199,15 @@
 			value: settings.peerCertificate, remedy: "give certificate, key and authority together, or none",
 		})
 	}
-	if given == 0 && !loopback(settings.peerAddress) {
+	if settings.hostList == "" && !settings.Gateway() {
+		problems = append(problems, &Problem{
+			section: "platform", key: "host-list", remedy: "is required unless [gateway] directory-address is given; give " + urlAllowed,
+		})
+	}
+	if given == 0 && !loopback(settings.peerAddress) && !settings.PlainPeers() {
 		problems = append(problems, &Problem{
 			section: "peers", key: "certificate",
-			remedy: "is required unless [host] peer-address is a loopback address",
+			remedy: "is required unless [host] peer-address is a loopback address or [peers] plain is yes",
 		})
 	}
 	if settings.address == settings.peerAddress {
--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -40,8 +40,8 @@
 		set: baseURL(func(settings *Settings) *string { return &settings.store }),
 	},
 	{
-		section: "platform", key: "host-list", required: true, allowed: urlAllowed,
-		doc: "The platform's list of hosts.",
+		section: "platform", key: "host-list", allowed: urlAllowed,
+		doc: "The platform's list of hosts; a gateway needs none.",
 		set: baseURL(func(settings *Settings) *string { return &settings.hostList }),
 	},
 	{
@@ -49,6 +49,36 @@
 		doc: "The bound on one call to the platform; a watch may wait longer.",
 		set: duration("10ms", "1m", func(settings *Settings) *time.Duration { return &settings.platformTimeout }),
 	},
+	{
+		section: "gateway", key: "ready-address", allowed: addressAllowed,
+		doc: "Where the platform asks a gateway whether it is ready.",
+		set: address(func(settings *Settings) *string { return &settings.readyAddress }),
+	},
+	{
+		section: "gateway", key: "directory-address", allowed: addressAllowed,
+		doc: "Where callers ask a gateway which addresses to use.",
+		set: address(func(settings *Settings) *string { return &settings.directoryAddress }),
+	},
+	{
+		section: "gateway", key: "metrics-address", allowed: addressAllowed,
+		doc: "Where a gateway shows its health and its metrics.",
+		set: address(func(settings *Settings) *string { return &settings.metricsAddress }),
+	},
+	{
+		section: "gateway", key: "data-centres", allowed: "data-centre=region, with commas between",
+		doc: "The region of each data centre, so that a gateway knows how far an endpoint is.",
+		set: regions(func(settings *Settings) *map[string]string { return &settings.regions }),
+	},
+	{
+		section: "gateway", key: "apply-bound", fallback: "2s", allowed: "a time from 100ms to 1m",
+		doc: "Within what time a change in the store must be in force on every gateway.",
+		set: duration("100ms", "1m", func(settings *Settings) *time.Duration { return &settings.applyBound }),
+	},
+	{
+		section: "gateway", key: "retry-slack", fallback: "20", allowed: "a number from 0 to 100000",
+		doc: "Retries that all gateways together may send for a service beyond the retry share.",
+		set: number(0, 100000, func(settings *Settings) *int { return &settings.retrySlack }),
+	},
 	{
 		section: "callers", key: "header-bytes", fallback: "32768", allowed: "a number from 1024 to 1048576",
 		doc: "The largest header of a caller's request, in bytes.",
@@ -136,6 +166,11 @@
 		doc: "How many claims are kept in all; over it keyed requests are refused as not run.",
 		set: number(100, 100000000, func(settings *Settings) *int { return &settings.claimMost }),
 	},
+	{
+		section: "peers", key: "plain", fallback: "no", allowed: "yes or no",
+		doc: "Whether links to peers may go without TLS on a network that the platform keeps to itself.",
+		set: choice([]string{"yes", "no"}, func(settings *Settings) *string { return &settings.plainPeers }),
+	},
 	{
 		section: "peers", key: "seeds", allowed: "name=IP:port of other hosts' peer addresses, with commas between",
 		doc: "Hosts to learn the fleet from where the host list can't be read at the start.",
--- /dev/null
+++ b/internal/tracker/item.go
@@ -0,0 +1,33 @@
+package tracker
+
+// Item is a key of the platform's store with its value.
+type Item struct {
+	key   string
+	value []byte
+	// revision is that of the last change to the key; it only rises.
+	revision uint64
+	// removed is true where the key was removed at revision.
+	removed bool
+}
+
+// NewItem returns a key with its value.
+func NewItem(key string, value []byte, revision uint64) Item {
+	return Item{key: key, value: value, revision: revision}
+}
+
+// RemovedItem returns a key that was removed at revision.
+func RemovedItem(key string, revision uint64) Item {
+	return Item{key: key, revision: revision, removed: true}
+}
+
+// Key returns the key.
+func (item Item) Key() string { return item.key }
+
+// Value returns the value; callers must not change it.
+func (item Item) Value() []byte { return item.value }
+
+// Revision returns the revision of the last change to the key.
+func (item Item) Revision() uint64 { return item.revision }
+
+// Removed reports whether the key was removed at that revision.
+func (item Item) Removed() bool { return item.removed }
