tracker: one host reads the store, the others pull copies along a tree of peers

A proof is now a reading of the store's revision; changes come with it, or the whole, where the store does not tell every revision. Hosts register under leases; a host whose proof grows old reads for itself. Planned stops leave the lists first.

Ruled out: watches as proof (silent ones prove nothing), a watcher chosen by a lease (its loss would be seen only with the lease).

--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -83,7 +83,11 @@
 	if err != nil {
 		return err
 	}
-	return launcher.New(settings).Run(ctx)
+	gateway, err := launcher.New(settings, os.Stdout)
+	if err != nil {
+		return err
+	}
+	return gateway.Run(ctx)
 }
 
 func check(_ context.Context, command *cli.Command) error {
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,13 @@
 type Directory interface {
 	// Endpoints returns the endpoints of service that take new work.
 	Endpoints(service string) []definer.Endpoint
+	// Belief returns the age and the revision of what is known of endpoints.
+	Belief() (age time.Duration, revision uint64)
+}
+
+// Journal takes the choices that are made.
+type Journal interface {
+	Usual(what string, details ...any)
 }
 
 // Assigner assigns requests. Make one with New.
@@ -55,13 +63,14 @@
 	directory Directory
 	asker     Asker
 	placer    *placer.Placer
+	journal   Journal
 	// asked counts health checks that were sent.
 	asked atomic.Int64
 }
 
 // New returns an assigner that decides by placer.
-func New(directory Directory, asker Asker, placer *placer.Placer) *Assigner {
-	return &Assigner{directory: directory, asker: asker, placer: placer}
+func New(directory Directory, asker Asker, placer *placer.Placer, journal Journal) *Assigner {
+	return &Assigner{directory: directory, asker: asker, placer: placer, journal: journal}
 }
 
 // Asked returns how many health checks were sent.
@@ -94,9 +103,22 @@
 	case choice.Hopeless():
 		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time")
 	}
+	age, revision := assigner.directory.Belief()
+	assigner.journal.Usual("assigned", "request", request.ID(), "endpoint", choice.Endpoint().Name(),
+		"expected", choice.Run(), "asked", describe(asked), "belief-age", age, "revision", revision)
 	return assigner.slot(choice, asked, want), nil
 }
 
+// describe returns what each endpoint said of itself.
+func describe(asked []placer.Asked) string {
+	var text strings.Builder
+	for _, candidate := range asked {
+		report := candidate.Report()
+		fmt.Fprintf(&text, "%s:%d+%d/%d@%.2f ", candidate.Name(), report.Running(), report.Waiting(), report.Slots(), report.Pace())
+	}
+	return strings.TrimSpace(text.String())
+}
+
 func refuse(kind refuser.Kind, detail string) *refuser.Refusal {
 	wait := retryLeast + rand.N(retryMost-retryLeast)
 	return refuser.New(kind, refuser.NotRun, detail).WithRetryAfter(wait)
@@ -165,7 +187,7 @@
 	pace := 1.0
 	for _, candidate := range asked {
 		if candidate.Name() == endpoint.Name() {
-			pace = max(candidate.Pace(), 1)
+			pace = max(candidate.Report().Pace(), 1)
 		}
 	}
 	return &slot{assigner: assigner, endpoint: endpoint, want: want, pace: pace}
--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/chivespool/chivespool/internal/dialer"
 )
 
 // DefaultTimeout bounds a call to the platform that has no tighter deadline; a
@@ -76,7 +78,9 @@
 // of it was written: net/http replays a request whose answer was lost only for
 // safe methods and those with an idempotency key, and calls carry none.
 func newTransport() *http.Transport {
+	dialer := dialer.New(DefaultTimeout)
 	return &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -63,12 +63,30 @@
 	Record(kind recorder.Kind, object, text string)
 }
 
+// Journal takes what is decided about requests.
+type Journal interface {
+	// Usual takes what every request brings; it may be sampled.
+	Usual(what string, details ...any)
+	// Notable takes what goes wrong.
+	Notable(what string, details ...any)
+}
+
+// noJournal is the journal of a dispatcher that has none.
+type noJournal struct{}
+
+// Usual forgets.
+func (noJournal) Usual(string, ...any) {}
+
+// Notable forgets.
+func (noJournal) Notable(string, ...any) {}
+
 // Dispatcher carries requests; it is safe for concurrent use once set up.
 type Dispatcher struct {
 	planner     Planner
 	router      Router
 	sender      Sender
 	recorder    Recorder
+	journal     Journal
 	claimer     Claimer
 	quarantiner Quarantiner
 	budget      Budget
@@ -88,12 +106,15 @@
 // New returns a dispatcher over the parts that every request needs.
 func New(configurations Configurations, router Router, sender Sender, recorder Recorder) *Dispatcher {
 	planner := &rules{configurations: configurations}
-	return &Dispatcher{planner: planner, router: router, sender: sender, recorder: recorder}
+	return &Dispatcher{planner: planner, router: router, sender: sender, recorder: recorder, journal: noJournal{}}
 }
 
 // SetPlanner replaces the rules of the configuration.
 func (dispatcher *Dispatcher) SetPlanner(planner Planner) { dispatcher.planner = planner }
 
+// SetJournal sets who takes what is decided about requests.
+func (dispatcher *Dispatcher) SetJournal(journal Journal) { dispatcher.journal = journal }
+
 // SetBurst bounds the retries that a service can save up, which is what it may
 // send beyond its share at one time.
 func (dispatcher *Dispatcher) SetBurst(burst float64) { dispatcher.budget.SetBurst(burst) }
@@ -123,18 +144,20 @@
 // *refuser.Refusal. The answer must be closed.
 func (dispatcher *Dispatcher) Dispatch(ctx context.Context, request *Request) (*Answer, error) {
 	dispatcher.meters.request()
+	start := time.Now()
 	call, err := dispatcher.prepare(request)
 	if err != nil {
-		return nil, dispatcher.refused(request, err)
+		return nil, dispatcher.refused(request, nil, start, err)
 	}
-	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	answer, err := dispatcher.carry(ctx, call)
 	if err != nil {
 		cancel()
-		return nil, dispatcher.refused(request, err)
+		return nil, dispatcher.refused(call.Request, call, start, err)
 	}
 	answer.cancel = cancel
+	dispatcher.journal.Usual("answered", "request", call.id, "service", call.service, "class", call.plan.class,
+		"endpoint", answer.endpoint, "status", answer.status, "attempts", len(call.tried), "took", time.Since(start))
 	dispatcher.meters.done(time.Since(start) - call.elsewhere)
 	return answer, nil
 }
@@ -205,8 +228,16 @@
 }
 
 // refused notes a refusal on the time line and returns it.
-func (dispatcher *Dispatcher) refused(request *Request, err error) error {
+func (dispatcher *Dispatcher) refused(request *Request, call *call, start time.Time, err error) error {
 	refusal := asRefusal(err)
+	details := []any{
+		"request", request.id, "kind", refusal.Kind(), "ran", refusal.Ran().String(), "detail", refusal.Detail(),
+		"retry-after", refusal.RetryAfter(), "took", time.Since(start),
+	}
+	if call != nil {
+		details = append(details, "service", call.service, "class", call.plan.class, "tried", call.tried, "timeout", call.timeout)
+	}
+	dispatcher.journal.Notable("refused", details...)
 	dispatcher.meters.refusal(refusal.Kind())
 	dispatcher.recorder.Record(recorder.KindRefusal, request.service, request.id+" "+string(refusal.Kind()))
 	return refusal
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -106,6 +106,7 @@
 		return
 	}
 	dispatcher.meters.hedge()
+	dispatcher.journal.Usual("hedged", "request", call.id, "class", call.plan.class, "tried", call.tried)
 	if err := race.start(); err != nil {
 		// The first attempt still runs; its outcome decides.
 		dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" no hedge: "+err.Error())
@@ -173,15 +174,25 @@
 	endpoint := flight.slot.Endpoint()
 	answer, err := flight.dispatcher.sender.Send(trial.ctx, endpoint, flight.call.Request)
 	if err != nil {
-		failure := asFailure(err)
-		flight.fail(failure)
-		return nil, failure
+		return nil, trial.failed(asFailure(err))
 	}
 	answer.endpoint = endpoint.Name()
 	flight.follow(answer)
 	return flight.dispatcher.hold(answer, flight.call.plan.repeatable)
 }
 
+// failed takes in the failure of the attempt.
+func (trial *trial) failed(failure *Failure) *Failure {
+	flight := &trial.flight
+	if trial.ctx.Err() == nil || failure.cause != Abandoned {
+		flight.dispatcher.journal.Notable("attempt failed", "request", flight.call.id, "number", trial.number,
+			"endpoint", flight.slot.Endpoint().Name(), "address", flight.slot.Endpoint().Address(),
+			"cause", failure.cause.String(), "sent", failure.sent, "error", failure.err, "took", time.Since(flight.start))
+	}
+	flight.fail(failure)
+	return failure
+}
+
 // Slot is the right to run one request on an endpoint.
 type Slot interface {
 	Endpoint() definer.Endpoint
--- /dev/null
+++ b/internal/encoder/copy.go
@@ -0,0 +1,94 @@
+package encoder
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/tracker"
+)
+
+// maxItemsBytes bounds the items of one copy: the store's values together.
+const maxItemsBytes = 64 << 20
+
+// MarshalItems encodes and compresses keys of the store; nil for none.
+func MarshalItems(items []tracker.Item) ([]byte, error) {
+	if len(items) == 0 {
+		return nil, nil
+	}
+	message := &CopyItems{Items: make([]*CopyItem, 0, len(items))}
+	for _, item := range items {
+		message.Items = append(message.Items, &CopyItem{
+			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Removed: item.Removed(),
+		})
+	}
+	plain, err := proto.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encode items: %w", err)
+	}
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress items: %w", err)
+	}
+	if _, err := writer.Write(plain); err != nil {
+		return nil, fmt.Errorf("compress items: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("compress items: %w", err)
+	}
+	return packed.Bytes(), nil
+}
+
+// UnmarshalItems decodes what MarshalItems made.
+func UnmarshalItems(packed []byte) ([]tracker.Item, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxItemsBytes))
+	if err != nil {
+		return nil, fmt.Errorf("decompress items: %w", err)
+	}
+	message := new(CopyItems)
+	if err := proto.Unmarshal(plain, message); err != nil {
+		return nil, fmt.Errorf("decode items: %w", err)
+	}
+	items := make([]tracker.Item, 0, len(message.GetItems()))
+	for _, item := range message.GetItems() {
+		if item.GetRemoved() {
+			items = append(items, tracker.RemovedItem(item.GetKey(), item.GetRevision()))
+			continue
+		}
+		items = append(items, tracker.NewItem(item.GetKey(), item.GetValue(), item.GetRevision()))
+	}
+	return items, nil
+}
+
+// MarshalHost encodes the registration of an entry host.
+func MarshalHost(host definer.Host) ([]byte, error) {
+	value, err := proto.Marshal(&Member{
+		Name: host.Name(), Address: host.Address(), PeerAddress: host.PeerAddress(),
+		Region: host.Place().Region(), DataCentre: host.Place().DataCentre(), Incarnation: host.Incarnation(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode a host: %w", err)
+	}
+	return value, nil
+}
+
+// UnmarshalHost decodes what MarshalHost made.
+func UnmarshalHost(value []byte) (definer.Host, error) {
+	member := new(Member)
+	if err := proto.Unmarshal(value, member); err != nil {
+		return definer.Host{}, fmt.Errorf("decode a host: %w", err)
+	}
+	if member.GetName() == "" || member.GetAddress() == "" {
+		return definer.Host{}, fmt.Errorf("decode a host: a name or an address is missing")
+	}
+	place := definer.NewPlace(member.GetRegion(), member.GetDataCentre())
+	return definer.NewHost(member.GetName(), member.GetAddress(), member.GetPeerAddress(), place, member.GetIncarnation()), nil
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -1,11 +1,24 @@
-// Package launcher builds the process of an entry host on the users' platform: it
-// makes every part, joins them, and runs them as one supervisor tree. It
-// decides nothing.
+// Package launcher builds the process of an entry host on the users' platform,
+// a gateway: it makes every part, joins them, and runs them as one supervisor
+// tree. It decides nothing.
+//
+// The tree, in the order of start; it stops in the reverse order:
+//
+//	log
+//	links      messenger
+//	beliefs    poller, puller, updater
+//	routing    sender
+//	front      metrics, directory, ready, front
+//	fleet      enroller, usher
+//
+// The usher stops first: it takes the host off every list and waits until
+// callers have moved on, while all else still works.
 package launcher
 
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +30,10 @@
 	"github.com/chivespool/chivespool/internal/connector"
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/chivespool/chivespool/internal/enroller"
+	"github.com/chivespool/chivespool/internal/logger"
+	"github.com/chivespool/chivespool/internal/messenger"
 	"github.com/chivespool/chivespool/internal/placer"
 	"github.com/chivespool/chivespool/internal/recorder"
 	"github.com/chivespool/chivespool/internal/sender"
@@ -26,103 +43,139 @@
 	"github.com/chivespool/chivespool/platform"
 )
 
-// Gateway is the process of an entry host on the users' platform. Make one
-// with New.
+const (
+	// hostPrefix begins the keys under which entry hosts are registered.
+	hostPrefix = platform.OwnPrefix + "hosts/"
+	// heldBytes is the size up to which the answer to a repeatable request is
+	// read whole before it goes to the caller, so that a cut one is replaced.
+	heldBytes = 256 << 10
+)
+
+// Gateway is the process of an entry host. Make one with New.
 type Gateway struct {
 	settings *setter.Settings
+	// self has the start's time as its incarnation, so it rises.
 	self     definer.Host
+	log      *logger.Log
 	recorder *recorder.Recorder
 	registry metrics.Registry
 
 	store      *platform.Store
+	messenger  *messenger.Messenger
 	tracker    *tracker.Tracker
+	enroller   *enroller.Enroller
+	placer     *placer.Placer
 	sender     *sender.Sender
 	dispatcher *dispatcher.Dispatcher
-	front      *acceptor.Acceptor
-	ready      *acceptor.Acceptor
-	directory  *acceptor.Acceptor
-	leaving    atomic.Bool
+	// leaving is true once a planned stop has begun.
+	leaving atomic.Bool
+	// met is the revision of the view whose hosts the links know.
+	met atomic.Uint64
 }
 
-// New returns a gateway with all parts made and joined; nothing runs yet.
-func New(settings *setter.Settings) *Gateway {
+// New returns a gateway that logs to output, with all parts made and joined;
+// nothing runs yet.
+func New(settings *setter.Settings, output io.Writer) (*Gateway, error) {
 	gateway := &Gateway{
 		settings: settings,
 		self:     settings.Host(uint64(time.Now().UnixNano())),
+		log:      logger.New(output),
 		recorder: &recorder.Recorder{},
 		registry: metrics.NewRegistry(),
 	}
-	gateway.store = platform.NewStore(settings.Store(), connector.WithTimeout(settings.PlatformTimeout()), connector.WithRegistry(gateway.registry))
-	decoder := platform.NewDecoder(settings.Regions())
-	gateway.tracker = tracker.New(gateway.store, decoder, tracker.NewKeys(platform.ConfigurationKey, platform.EndpointPrefix, platform.OwnPrefix+"hosts/"))
-	gateway.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeadBytes())
-	gateway.sender.SetDialect(platform.Dialect{})
-	chooser := placer.New(gateway.self.Place(), gateway.self.Incarnation())
-	assigner := assigner.New(gateway, gateway.sender, chooser)
-	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
-	gateway.dispatcher.SetPlanner(dispatcher.NewRoutes(gateway))
-	gateway.dispatcher.SetLimits(settings.Attempts(), settings.RequestTimeout(), settings.RetryShare())
-	gateway.dispatcher.SetBurst(3)
-	gateway.dispatcher.SetHeldBytes(256 << 10)
-	gateway.dispatcher.SetRegistry(gateway.registry)
-	limits := acceptor.NewLimits(settings.HeaderBytes(), settings.HeaderTimeout(), settings.IdleTimeout(), settings.BodyTimeout())
-	protocol := platform.NewFront(gateway, gateway)
-	listen := func(address string) *acceptor.Acceptor {
-		host := definer.NewHost(gateway.self.Name(), address, gateway.self.PeerAddress(), gateway.self.Place(), gateway.self.Incarnation())
-		front := acceptor.New(host, gateway.dispatcher, nil, limits)
-		front.SetProtocol(protocol)
-		front.SetLeaving(gateway.leaving.Load)
-		front.SetLeaveBound(settings.LeaveBound())
-		return front
+	if err := gateway.makeBeliefs(); err != nil {
+		return nil, err
 	}
-	gateway.front = listen(settings.Address())
-	gateway.ready = listen(settings.ReadyAddress())
-	gateway.directory = listen(settings.DirectoryAddress())
-	return gateway
-}
-
-// Table returns the routing in force, and whether it is known to be current.
-func (gateway *Gateway) Table() (*definer.RouteTable, bool) {
-	view := gateway.tracker.View()
-	return view.Table(), view.Age(time.Now()) < 1500*time.Millisecond
-}
-
-// Endpoints returns the endpoints of service that take new work.
-func (gateway *Gateway) Endpoints(service string) []definer.Endpoint {
-	return gateway.tracker.View().Endpoints(service)
-}
-
-// Near returns the entry hosts for callers at place.
-func (gateway *Gateway) Near(definer.Place) ([]definer.Host, time.Duration) {
-	return []definer.Host{gateway.self}, time.Second
+	gateway.makeRouting()
+	return gateway, nil
 }
 
-// Hindrances returns what keeps the host from its work, with the remedy.
-func (gateway *Gateway) Hindrances() []string {
-	if gateway.leaving.Load() {
-		return []string{"the host is leaving; send callers to another"}
+func (gateway *Gateway) makeBeliefs() error {
+	settings := gateway.settings
+	gateway.store = platform.NewStore(settings.Store(),
+		connector.WithTimeout(settings.PlatformTimeout()), connector.WithRegistry(gateway.registry))
+	gateway.messenger = &messenger.Messenger{}
+	gateway.messenger.SetSelf(gateway.self)
+	gateway.messenger.SetRecorder(gateway.recorder)
+	gateway.messenger.Handle(&peers{gateway: gateway})
+	if settings.PlainPeers() {
+		gateway.messenger.AllowPlain()
 	}
-	if gateway.tracker.View().Table().Version() == 0 {
-		return []string{"no routing is known here; check that the platform's store can be reached"}
+	keys := tracker.NewKeys(platform.ConfigurationKey, platform.EndpointPrefix, hostPrefix)
+	gateway.tracker = tracker.New(gateway.self, gateway.store, &peers{gateway: gateway},
+		platform.NewDecoder(settings.Regions()), keys, settings.ApplyBound(), gateway.log)
+	value, err := encoder.MarshalHost(gateway.self)
+	if err != nil {
+		return err
 	}
+	gateway.enroller = enroller.New(gateway.store, gateway, gateway.log, hostPrefix+gateway.self.Name(), value)
 	return nil
 }
 
+func (gateway *Gateway) makeRouting() {
+	settings := gateway.settings
+	gateway.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeadBytes())
+	gateway.sender.SetDialect(platform.Dialect{})
+	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
+	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.log)
+	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
+	gateway.dispatcher.SetPlanner(dispatcher.NewRoutes(gateway))
+	gateway.dispatcher.SetLimits(settings.Attempts(), settings.RequestTimeout(), settings.RetryShare())
+	gateway.dispatcher.SetHeldBytes(heldBytes)
+	gateway.dispatcher.SetRegistry(gateway.registry)
+	gateway.dispatcher.SetJournal(gateway.log)
+}
+
 // Run runs the gateway until ctx is done, then stops it gracefully.
 func (gateway *Gateway) Run(ctx context.Context) error {
-	klog.InfoS("starts", "host", gateway.self.Name(), "place", gateway.self.Place().String(), "address", gateway.self.Address())
-	var root supervisor.Tree
-	root.Add("tracker", gateway.tracker)
-	root.Add("sender", gateway.sender)
-	root.Add("directory", gateway.directory)
-	root.Add("ready", gateway.ready)
-	root.Add("front", gateway.front)
-	err := root.Run(ctx)
+	klog.InfoS("starts", "host", gateway.self.Name(), "place", gateway.self.Place().String(),
+		"address", gateway.self.Address(), "incarnation", gateway.self.Incarnation())
+	err := gateway.tree().Run(ctx)
 	_ = gateway.dispatcher.Close()
 	_ = gateway.sender.Close()
+	_ = gateway.store.Close()
 	if err != nil {
-		return fmt.Errorf("the gateway of %s gave up: %w", gateway.self.Name(), err)
+		err = fmt.Errorf("the gateway of %s gave up: %w", gateway.self.Name(), err)
 	}
-	klog.InfoS("stopped", "host", gateway.self.Name())
-	return nil
+	klog.InfoS("stopped", "host", gateway.self.Name(), "error", err)
+	_ = gateway.log.Close()
+	return err
+}
+
+func (gateway *Gateway) tree() *supervisor.Tree {
+	settings := gateway.settings
+	var links, beliefs, routing, front, fleet, root supervisor.Tree
+	links.Add("messenger", gateway.messenger)
+	beliefs.Add("poller", gateway.tracker.Poller())
+	beliefs.Add("puller", gateway.tracker.Puller())
+	beliefs.Add("updater", &updater{gateway: gateway})
+	routing.Add("sender", gateway.sender)
+	if settings.MetricsAddress() != "" {
+		front.Add("metrics", gateway.listen(settings.MetricsAddress(), &reports{gateway: gateway}))
+	}
+	protocol := platform.NewFront(&directory{gateway: gateway}, gateway)
+	front.Add("directory", gateway.listen(settings.DirectoryAddress(), protocol))
+	front.Add("ready", gateway.listen(settings.ReadyAddress(), protocol))
+	front.Add("front", gateway.listen(settings.Address(), protocol))
+	fleet.Add("enroller", gateway.enroller)
+	fleet.Add("usher", &usher{gateway: gateway})
+	root.Add("log", gateway.log)
+	root.Add("links", &links)
+	root.Add("beliefs", &beliefs)
+	root.Add("routing", &routing)
+	root.Add("front", &front)
+	root.Add("fleet", &fleet)
+	return &root
+}
+
+// listen returns what serves protocol at address.
+func (gateway *Gateway) listen(address string, protocol acceptor.Protocol) *acceptor.Acceptor {
+	settings, self := gateway.settings, gateway.self
+	host := definer.NewHost(self.Name(), address, self.PeerAddress(), self.Place(), self.Incarnation())
+	limits := acceptor.NewLimits(settings.HeaderBytes(), settings.HeaderTimeout(), settings.IdleTimeout(), settings.BodyTimeout())
+	front := acceptor.New(host, gateway.dispatcher, nil, limits)
+	front.SetProtocol(protocol)
+	front.SetLeaving(gateway.leaving.Load)
+	front.SetLeaveBound(gateway.endTime())
+	return front
 }
--- /dev/null
+++ b/internal/launcher/peers.go
@@ -0,0 +1,51 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/encoder"
+	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/tracker"
+)
+
+// peers joins the tracker to the links: it encodes what is asked and answered.
+type peers struct {
+	gateway *Gateway
+}
+
+var errUnknownRequest = errors.New("this release does not know the request")
+
+// Handle answers the calls of other entry hosts.
+func (peers *peers) Handle(ctx context.Context, _ string, request *encoder.Request) (*encoder.Reply, error) {
+	fetch := request.GetCopyFetch()
+	if fetch == nil {
+		return nil, messenger.NewError(messenger.Refused, "unknown-request", errUnknownRequest)
+	}
+	news := peers.gateway.tracker.Serve(ctx, fetch.GetRevision(), fetch.GetProof())
+	items, err := encoder.MarshalItems(news.Items())
+	if err != nil {
+		return nil, err
+	}
+	body := &encoder.CopyNews{
+		Revision: news.Revision(), Age: int64(news.Age()), Proof: news.Proof(), Whole: news.Whole(), Items: items,
+	}
+	return &encoder.Reply{Body: &encoder.Reply_CopyNews{CopyNews: body}}, nil
+}
+
+// Fetch asks host for what it knows after revision.
+func (peers *peers) Fetch(ctx context.Context, host string, revision, proof uint64) (tracker.News, error) {
+	peers.gateway.meet()
+	body := &encoder.Request_CopyFetch{CopyFetch: &encoder.CopyFetch{Revision: revision, Proof: proof}}
+	reply, err := peers.gateway.messenger.Call(ctx, host, &encoder.Request{Body: body})
+	if err != nil {
+		return tracker.News{}, err
+	}
+	news := reply.GetCopyNews()
+	items, err := encoder.UnmarshalItems(news.GetItems())
+	if err != nil {
+		return tracker.News{}, err
+	}
+	return tracker.NewNews(news.GetRevision(), time.Duration(news.GetAge()), news.GetProof(), news.GetWhole(), items), nil
+}
--- a/internal/locator/locate.go
+++ b/internal/locator/locate.go
@@ -88,3 +88,27 @@
 		return otherElsewhere
 	}
 }
+
+// nearLeast is how many entry hosts a caller is told of at least: with one
+// alone it has nowhere to go when that one dies.
+const nearLeast = 2
+
+// Near returns the entry hosts for callers at place: those of its data centre,
+// and where they are few those of its region, or all.
+func Near(hosts []definer.Host, place definer.Place) []definer.Host {
+	for _, fits := range []func(definer.Host) bool{
+		func(host definer.Host) bool { return host.Place() == place },
+		func(host definer.Host) bool { return host.Place().Region() == place.Region() },
+	} {
+		var near []definer.Host
+		for _, host := range hosts {
+			if fits(host) {
+				near = append(near, host)
+			}
+		}
+		if len(near) >= nearLeast {
+			return near
+		}
+	}
+	return hosts
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -70,10 +70,12 @@
 	network Network
 	// credentials is nil where links are plain.
 	credentials *Credentials
-	recorder    Recorder
-	handler     Handler
-	digests     DigestHandler
-	down        []func(host string)
+	// plain is true where links may go without TLS beyond loopback.
+	plain    bool
+	recorder Recorder
+	handler  Handler
+	digests  DigestHandler
+	down     []func(host string)
 }
 
 // snapshot returns the settings as they are now.
@@ -120,6 +122,12 @@
 	messenger.change(func(settings *settings) { settings.recorder = recorder })
 }
 
+// AllowPlain lets links go without TLS beyond loopback, on a network that the
+// platform keeps to itself.
+func (messenger *Messenger) AllowPlain() {
+	messenger.change(func(settings *settings) { settings.plain = true })
+}
+
 // Handle sets who answers the calls of peers.
 func (messenger *Messenger) Handle(handler Handler) {
 	messenger.change(func(settings *settings) { settings.handler = handler })
@@ -285,7 +293,7 @@
 // checkPlain keeps plain links on loopback.
 func (messenger *Messenger) checkPlain() error {
 	settings := messenger.snapshot()
-	if settings.credentials == nil && !loopback(settings.self.PeerAddress()) {
+	if settings.credentials == nil && !settings.plain && !loopback(settings.self.PeerAddress()) {
 		return &CredentialsError{text: "plain links are only for loopback, not for " + settings.self.PeerAddress()}
 	}
 	return nil
--- a/internal/messenger/network.go
+++ b/internal/messenger/network.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"github.com/chivespool/chivespool/internal/dialer"
 )
 
 // Network opens connections between hosts.
@@ -14,19 +16,18 @@
 }
 
 // TCP is the Network that hosts use.
-type TCP struct {
-	dialer net.Dialer
-	config net.ListenConfig
-}
+type TCP struct{}
 
 // Dial connects to address over TCP.
-func (tcp *TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
-	return tcp.dialer.DialContext(ctx, "tcp", address)
+func (*TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := dialer.New(0)
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Listen accepts TCP connections at address.
-func (tcp *TCP) Listen(ctx context.Context, address string) (net.Listener, error) {
-	return tcp.config.Listen(ctx, "tcp", address)
+func (*TCP) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := dialer.Listener()
+	return config.Listen(ctx, "tcp", address)
 }
 
 // loopback reports whether address, as IP:port, never leaves the host.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -421,5 +421,5 @@
 // Name returns the name of the endpoint that was asked.
 func (asked Asked) Name() string { return asked.endpoint.Name() }
 
-// Pace returns how many times as long as usual work takes there, or 0.
-func (asked Asked) Pace() float64 { return asked.report.Pace() }
+// Report returns what the endpoint said of itself.
+func (asked Asked) Report() definer.Report { return asked.report }
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -23,13 +23,7 @@
 
 // Bounds on connections to endpoints.
 const (
-	// silenceTimeout ends a connection whose peer takes no data or answers no
-	// keep-alive: a host without power sends no reset.
-	silenceTimeout    = 2 * time.Second
-	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
-	bufferBytes       = 4 << 10
+	bufferBytes = 4 << 10
 	// restTime is how long a connection is kept where the endpoint does not say
 	// for how long it keeps it, and restShare the part of what it says.
 	restTime  = 4 * time.Second
@@ -51,32 +45,9 @@
 	expires time.Time
 }
 
-// dialer makes connections.
-type dialer struct {
-	net.Dialer
-}
-
-func newDialer(timeout time.Duration) *dialer {
-	return &dialer{Dialer: net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: boundSilence,
-	}}
-}
-
-// boundSilence bounds how long sent data may stay unacknowledged.
-func boundSilence(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failure)
-}
-
-func (dialer *dialer) connect(ctx context.Context, endpoint definer.Endpoint) (*connection, error) {
-	conn, err := dialer.DialContext(ctx, "tcp", endpoint.Address())
+// dial makes a connection to endpoint.
+func (sender *Sender) dial(ctx context.Context, endpoint definer.Endpoint) (*connection, error) {
+	conn, err := sender.dialer.DialContext(ctx, "tcp", endpoint.Address())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -12,11 +12,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/dialer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
 )
 
@@ -40,7 +42,7 @@
 
 // Sender sends requests to endpoints. Make one with New.
 type Sender struct {
-	dialer    *dialer
+	dialer    net.Dialer
 	dialect   Dialect
 	headBytes int
 	keeper
@@ -49,7 +51,7 @@
 // New returns a sender that gives up on a connection after connectTimeout and
 // on an answer whose head is over headBytes bytes.
 func New(connectTimeout time.Duration, headBytes int) *Sender {
-	return &Sender{dialer: newDialer(connectTimeout), dialect: Plain{}, headBytes: headBytes}
+	return &Sender{dialer: dialer.New(connectTimeout), dialect: Plain{}, headBytes: headBytes}
 }
 
 // SetDialect replaces the product's own dialect.
@@ -273,7 +275,7 @@
 			return report, err
 		}
 	}
-	connection, err := sender.dialer.connect(ctx, endpoint)
+	connection, err := sender.dial(ctx, endpoint)
 	if err != nil {
 		return definer.Report{}, err
 	}
@@ -323,7 +325,7 @@
 	for {
 		connection := sender.take(endpoint, time.Now())
 		if connection == nil {
-			return sender.dialer.connect(ctx, endpoint)
+			return sender.dial(ctx, endpoint)
 		}
 		if !once || time.Since(connection.rested) <= proofAge {
 			return connection, nil
--- /dev/null
+++ b/internal/tracker/tasks.go
@@ -0,0 +1,182 @@
+package tracker
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// pace derives the times of a tracker from the bound within which a change must
+// be in force everywhere.
+type pace struct {
+	bound time.Duration
+}
+
+// How the bound is spent: a change waits for the next reading, then goes down
+// three levels of the tree; a host that hears nothing reads for itself in time.
+const (
+	// readShare is the part of the bound between two readings of the fleet.
+	readShare = 0.25
+	// patienceShare is the part of the bound that each level waits longer than
+	// the one above before it reads for itself.
+	patienceShare = 0.13
+	// failShare is the part of the bound between two readings that fail, at the
+	// top of the tree; each level below waits as much longer.
+	failShare = 0.2
+	// holdShare is the part of the bound for which a reply to a peer is held back.
+	holdShare = 0.3
+	// outShare is the part of the bound for which a peer is passed over that did
+	// not answer, as a multiple.
+	outShare = 1
+)
+
+func (pace pace) share(share float64) time.Duration {
+	return time.Duration(share * float64(pace.bound))
+}
+
+// patience returns how old a proof may grow at a depth before the host reads
+// the store itself.
+func (pace pace) patience(at depth) time.Duration {
+	if at == depthFleet {
+		return pace.share(readShare)
+	}
+	return pace.share(readShare + patienceShare*float64(at))
+}
+
+// retry returns how long to wait after a reading that failed.
+func (pace pace) retry(at depth) time.Duration { return pace.share(failShare * float64(at+1)) }
+
+// hold returns for how long a reply to a peer is held back at most.
+func (pace pace) hold() time.Duration { return pace.share(holdShare) }
+
+// fetch bounds a question to a peer.
+func (pace pace) fetch() time.Duration { return 2 * pace.hold() }
+
+// Poller is the task that reads the store.
+type Poller struct{ tracker *Tracker }
+
+// Poller returns the task that reads the store.
+func (tracker *Tracker) Poller() *Poller { return &Poller{tracker: tracker} }
+
+// Run reads the store whenever the proof is older than the host's depth in the
+// tree allows, until ctx is done.
+func (poller *Poller) Run(ctx context.Context) error {
+	var retry time.Time
+	for ctx.Err() == nil {
+		if poller.wait(ctx, retry) {
+			retry = poller.read(ctx)
+		}
+	}
+	return nil
+}
+
+// wait waits until the proof has grown old or is renewed, and reports which.
+func (poller *Poller) wait(ctx context.Context, retry time.Time) bool {
+	tracker := poller.tracker
+	now := time.Now()
+	at, _ := tracker.place(now)
+	tracker.mu.Lock()
+	due := tracker.proved.Add(tracker.pace.patience(at))
+	renewed := tracker.renewed
+	tracker.mu.Unlock()
+	if due.Before(retry) {
+		due = retry
+	}
+	timer := time.NewTimer(due.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-renewed:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// read makes one reading and returns before when there is to be no other.
+func (poller *Poller) read(ctx context.Context) time.Time {
+	tracker := poller.tracker
+	start := time.Now()
+	err := tracker.read(ctx, start)
+	if ctx.Err() != nil {
+		return time.Time{}
+	}
+	tracker.mu.Lock()
+	changed := tracker.blind != (err != nil)
+	tracker.blind = err != nil
+	tracker.mu.Unlock()
+	if err == nil {
+		if changed {
+			tracker.journal.Learned("store is back", "revision", tracker.revision())
+		}
+		return time.Time{}
+	}
+	if changed {
+		tracker.journal.Learned("store is lost", "error", err, "proof-age", tracker.Age(start))
+	}
+	at, _ := tracker.place(start)
+	wait := tracker.pace.retry(at)
+	return time.Now().Add(wait/2 + rand.N(wait/2))
+}
+
+// Puller is the task that asks the peer above.
+type Puller struct{ tracker *Tracker }
+
+// Puller returns the task that asks the peer above.
+func (tracker *Tracker) Puller() *Puller { return &Puller{tracker: tracker} }
+
+// Run asks the peer above until ctx is done.
+func (puller *Puller) Run(ctx context.Context) error {
+	tracker := puller.tracker
+	var last string
+	var proof uint64
+	for ctx.Err() == nil {
+		_, above := tracker.place(time.Now())
+		if above.Name() == "" {
+			puller.rest(ctx)
+			continue
+		}
+		if above.Name() != last {
+			last, proof = above.Name(), 0
+			tracker.journal.Learned("asks a peer", "peer", last)
+		}
+		proof = puller.pull(ctx, above.Name(), proof)
+	}
+	return nil
+}
+
+// rest waits for the next proof of a host that asks nobody.
+func (puller *Puller) rest(ctx context.Context) {
+	tracker := puller.tracker
+	tracker.mu.Lock()
+	renewed := tracker.renewed
+	tracker.mu.Unlock()
+	timer := time.NewTimer(tracker.pace.hold())
+	defer timer.Stop()
+	select {
+	case <-renewed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// pull asks host once and returns the number of its proof.
+func (puller *Puller) pull(ctx context.Context, host string, proof uint64) uint64 {
+	tracker := puller.tracker
+	bound, cancel := context.WithTimeout(ctx, tracker.pace.fetch())
+	defer cancel()
+	news, err := tracker.peers.Fetch(bound, host, tracker.revision(), proof)
+	now := time.Now()
+	if err != nil {
+		if ctx.Err() == nil {
+			tracker.journal.Learned("peer is lost", "peer", host, "error", err, "proof-age", tracker.Age(now))
+			tracker.mu.Lock()
+			tracker.out[host] = now.Add(tracker.pace.share(outShare))
+			tracker.mu.Unlock()
+		}
+		return 0
+	}
+	tracker.take(now, news)
+	return news.proof
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,55 +1,112 @@
 // Package tracker keeps what a host believes of the world current: a copy of
-// parts of the platform's store, with the time at which it was last proved.
+// the platform's store, with the time at which it was last proved to be whole.
+//
+// A proof is a reading of the store's own revision: a watch that hears nothing
+// proves nothing. One host of the fleet reads; the others ask it, along a tree
+// of regions and data centres (place). Nothing safe rests on the tree: a host
+// whose proof grows old reads the store itself, and hands on what it read. A
+// host never goes back to an older revision or an older routing.
+//
+// Two tasks work on a tracker: the poller reads the store, and the puller asks
+// the peer above.
 package tracker
 
 import (
 	"context"
-	"strings"
+	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
+	"github.com/chivespool/chivespool/internal/connector"
 	"github.com/chivespool/chivespool/internal/definer"
 )
 
-// Store is what the tracker reads of the platform's store.
+// Store is what a tracker reads of the platform's store.
 type Store interface {
+	// Revision returns the revision of the store.
+	Revision(ctx context.Context) (uint64, error)
+	// Scan returns all items, and a revision that they are at least as new as.
 	Scan(ctx context.Context, prefix string) ([]Item, uint64, error)
-	Get(ctx context.Context, key string) (Item, uint64, error)
+	// Changes returns what changed after a revision, and up to which revision
+	// that is whole.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
 }
 
-// Decoder turns values of the store into the product's types.
-type Decoder interface {
-	Table(value []byte) (*definer.RouteTable, error)
-	Endpoint(name string, value []byte) (definer.Endpoint, error)
+// Peers are the other entry hosts.
+type Peers interface {
+	// Fetch asks host for what it knows after revision. It takes until host has
+	// a newer proof than the one numbered proof.
+	Fetch(ctx context.Context, host string, revision, proof uint64) (News, error)
 }
 
-// Keys says where the store holds what a host has to know.
-type Keys struct {
-	table     string
-	endpoints string
-	hosts     string
+// News takes a copy of the store from one revision to a later one.
+type News struct {
+	revision uint64
+	// age is how long ago the store was known to be at revision.
+	age time.Duration
+	// proof counts the proofs of the host that the news come from.
+	proof uint64
+	// whole is true where items are the whole copy and not changes.
+	whole bool
+	items []Item
 }
 
-// NewKeys returns the key of the routing, and the prefixes of the keys of
-// endpoints and of entry hosts.
-func NewKeys(table, endpoints, hosts string) Keys {
-	return Keys{table: table, endpoints: endpoints, hosts: hosts}
+// NewNews returns the news of a host whose copy was proved age ago.
+func NewNews(revision uint64, age time.Duration, proof uint64, whole bool, items []Item) News {
+	return News{revision: revision, age: age, proof: proof, whole: whole, items: items}
 }
 
+// Revision returns the revision that the news lead to.
+func (news News) Revision() uint64 { return news.revision }
+
+// Age returns how long ago the store was known to be at that revision.
+func (news News) Age() time.Duration { return news.age }
+
+// Proof counts the proofs of the host that the news come from.
+func (news News) Proof() uint64 { return news.proof }
+
+// Whole reports whether the items are the whole copy and not changes.
+func (news News) Whole() bool { return news.whole }
+
+// Items returns what the news bring; callers must not change it.
+func (news News) Items() []Item { return news.items }
+
 // Tracker keeps a View current. Make one with New.
 type Tracker struct {
+	self    definer.Host
 	store   Store
-	decoder Decoder
-	keys    Keys
+	peers   Peers
+	pace    pace
+	journal Journal
 	current atomic.Pointer[View]
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	replica replica
+	builder builder
+	// proved is when the store was last known to be at the replica's revision;
+	// zero for never.
+	proved time.Time
+	// proof counts the proofs; it begins with the time of the start, so that it
+	// rises over starts.
+	proof uint64
+	// renewed is closed at the next proof, and then replaced.
+	renewed chan struct{}
+	// blind is true where the last reading of the store failed.
+	blind bool
+	// out holds until when peers are passed over that did not answer.
+	out map[string]time.Time
 }
 
-// New returns a tracker that knows nothing yet.
-func New(store Store, decoder Decoder, keys Keys) *Tracker {
-	return &Tracker{store: store, decoder: decoder, keys: keys}
+// New returns a tracker of the host self that knows nothing yet. What it
+// believes is never older than bound while the store or a peer can be reached.
+func New(self definer.Host, store Store, peers Peers, decoder Decoder, keys Keys, bound time.Duration, journal Journal) *Tracker {
+	return &Tracker{
+		self: self, store: store, peers: peers, journal: journal, pace: pace{bound: bound},
+		builder: builder{decoder: decoder, keys: keys, journal: journal},
+		proof:   self.Incarnation(), renewed: make(chan struct{}), out: make(map[string]time.Time),
+	}
 }
 
 // View returns what the host believes now.
@@ -60,50 +117,180 @@
 	return &nothing
 }
 
-// Run polls until ctx is done.
-func (tracker *Tracker) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		tracker.poll(ctx)
-		timer := time.NewTimer(500 * time.Millisecond)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
+// Age returns how long ago the view was known to be current; a day where it
+// never was.
+func (tracker *Tracker) Age(now time.Time) time.Duration {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return tracker.age(now)
+}
+
+// never is the age of what was never known to be current.
+const never = 24 * time.Hour
+
+func (tracker *Tracker) age(now time.Time) time.Duration {
+	if tracker.proved.IsZero() {
+		return never
 	}
-	return nil
+	return now.Sub(tracker.proved)
 }
 
-func (tracker *Tracker) poll(ctx context.Context) {
-	start := time.Now()
-	item, asOf, err := tracker.store.Get(ctx, tracker.keys.table)
-	if err != nil {
-		klog.ErrorS(err, "poll")
+// Current reports whether the view is known to be no older than the bound.
+func (tracker *Tracker) Current(now time.Time) bool { return tracker.Age(now) <= tracker.pace.bound }
+
+// place returns the host's depth in the tree and the host that it asks.
+func (tracker *Tracker) place(now time.Time) (depth, definer.Host) {
+	hosts := tracker.View().Hosts()
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return place(tracker.self, hosts, tracker.blind, func(name string) bool { return now.Before(tracker.out[name]) })
+}
+
+// prove takes in that the store was at revision at a moment. The caller holds
+// mu; the replica is at revision or beyond.
+func (tracker *Tracker) prove(at time.Time) {
+	if !at.After(tracker.proved) {
 		return
 	}
-	items, asOf2, err := tracker.store.Scan(ctx, tracker.keys.endpoints)
+	tracker.proved = at
+	tracker.proof++
+	close(tracker.renewed)
+	tracker.renewed = make(chan struct{})
+}
+
+// rebuild makes a new view; unseen is true where the store could not be read
+// for a while until now. The caller holds mu.
+func (tracker *Tracker) rebuild(now time.Time, unseen bool) {
+	tracker.current.Store(tracker.builder.build(now, &tracker.replica, unseen))
+}
+
+// unseenAge is the age of a proof from which on entries may have lapsed in an
+// outage that nobody saw.
+const unseenAge = 1500 * time.Millisecond
+
+// read takes in one reading of the store that began at start.
+func (tracker *Tracker) read(ctx context.Context, start time.Time) error {
+	revision, err := tracker.store.Revision(ctx)
 	if err != nil {
-		klog.ErrorS(err, "poll")
-		return
+		return err
 	}
-	old := tracker.View()
-	view := &View{table: old.table, endpoints: make(map[string][]definer.Endpoint), revision: asOf, proved: start}
-	if len(item.value) > 0 {
-		if table, err := tracker.decoder.Table(item.value); err == nil && table.Version() > old.table.Version() {
-			view.table = table
+	known := tracker.revision()
+	if revision > known {
+		return tracker.catchUp(ctx, start, known, revision)
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	tracker.prove(start)
+	if tracker.builder.waits() {
+		tracker.rebuild(time.Now(), false)
+	}
+	return nil
+}
+
+func (tracker *Tracker) revision() uint64 {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return tracker.replica.revision
+}
+
+// catchUp reads what changed after the revision known, or everything where the
+// store does not tell all of it.
+func (tracker *Tracker) catchUp(ctx context.Context, start time.Time, known, revision uint64) error {
+	if known > 0 {
+		changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait)
+		if err == nil && upTo >= revision && tracker.adopt(start, changes, upTo) {
+			return nil
 		}
+		var failure *connector.CallError
+		if err != nil && (!errors.As(err, &failure) || failure.Kind() != connector.Forgotten) {
+			return err
+		}
+		tracker.journal.Learned("changes are incomplete; reading everything", "after", known, "revision", revision, "told", len(changes))
+	}
+	items, asOf, err := tracker.store.Scan(ctx, "")
+	if err != nil {
+		return err
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	unseen := tracker.age(start) > unseenAge
+	if tracker.replica.replace(items, asOf) {
+		tracker.rebuild(time.Now(), unseen)
+	}
+	tracker.prove(start)
+	return nil
+}
+
+// changesWait is how long the store may wait for a change that it has told of
+// already.
+const changesWait = 20 * time.Millisecond
+
+// adopt takes in changes up to a revision; false where they are not whole.
+func (tracker *Tracker) adopt(start time.Time, changes []Item, upTo uint64) bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	unseen := tracker.age(start) > unseenAge
+	if !tracker.replica.apply(changes, upTo) {
+		return false
+	}
+	tracker.rebuild(time.Now(), unseen)
+	tracker.prove(start)
+	return true
+}
+
+// transit is taken off the moment of a peer's proof for the way of its reply: a
+// way between regions takes 12 ms, and some for the processors.
+const transit = 30 * time.Millisecond
+
+// take takes in the news of a peer that arrived at now.
+func (tracker *Tracker) take(now time.Time, news News) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	if news.revision < tracker.replica.revision {
+		return
 	}
-	for _, item := range items {
-		endpoint, err := tracker.decoder.Endpoint(strings.TrimPrefix(item.key, tracker.keys.endpoints), item.value)
-		if err != nil || endpoint.Drained() {
-			continue
+	proved := now.Add(-news.age - transit)
+	unseen := tracker.age(now) > unseenAge
+	if news.revision > tracker.replica.revision {
+		switch {
+		case news.whole:
+			tracker.replica.replace(news.items, news.revision)
+		case !tracker.replica.apply(news.items, news.revision):
+			return
 		}
-		path, _ := view.table.HealthPath(endpoint.Pool())
-		view.endpoints[endpoint.Pool()] = append(view.endpoints[endpoint.Pool()], endpoint.WithHealthPath(path))
+		tracker.rebuild(now, unseen)
+	} else if tracker.builder.waits() {
+		tracker.rebuild(now, false)
 	}
-	tracker.current.Store(view)
-	changes, asOf3, err := tracker.store.Changes(ctx, "", old.revision, time.Millisecond)
-	klog.InfoS("poll", "config", item.revision, "bytes", len(item.value), "asOf", asOf, "servers", len(items), "asOf2", asOf2, "changes", len(changes), "asOf3", asOf3, "err", err, "took", time.Since(start))
-	for _, change := range changes {
-		klog.InfoS("change", "key", change.key, "revision", change.revision, "removed", change.removed, "value", string(change.value[:min(len(change.value), 300)]))
+	if news.age < never {
+		tracker.prove(proved)
+	}
+}
+
+// Serve answers a peer whose copy is at revision and who has this host's proof
+// numbered proof. It waits for something to tell, but no longer than a peer
+// takes for a sign of life.
+func (tracker *Tracker) Serve(ctx context.Context, revision, proof uint64) News {
+	timer := time.NewTimer(tracker.pace.hold())
+	defer timer.Stop()
+	for {
+		news, renewed := tracker.news(time.Now(), revision)
+		if news.proof > proof || news.revision > revision {
+			return news
+		}
+		select {
+		case <-renewed:
+		case <-timer.C:
+			return news
+		case <-ctx.Done():
+			return news
+		}
 	}
 }
+
+func (tracker *Tracker) news(now time.Time, revision uint64) (News, <-chan struct{}) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	items, whole := tracker.replica.after(revision)
+	return NewNews(tracker.replica.revision, tracker.age(now), tracker.proof, whole, items), tracker.renewed
+}
