tracker: a reply that was held back tells its age at the moment it is sent

Cause: Serve computed the age of its proof before the hold.

Ruled out: readings that answer an old revision (the store's answers were right), lost changes (no host asked for any).

Change: the news are made anew at the end of the hold. Tests: the circle, the change after an outage, and a change under each trouble, in virtual time; the first two and "the reader turned away" failed before.

--- a/internal/tracker/builder.go
+++ b/internal/tracker/builder.go
@@ -60,7 +60,7 @@
 			builder.decodeHost(item)
 		}
 	}
-	return builder.view(now, replica.revision)
+	return builder.view(replica.revision)
 }
 
 // decodeTable moves to a newer table; it never goes back to an older version.
@@ -143,7 +143,7 @@
 }
 
 // view returns an immutable view of what is decoded.
-func (builder *builder) view(now time.Time, revision uint64) *View {
+func (builder *builder) view(revision uint64) *View {
 	view := &View{table: builder.table, endpoints: make(map[string][]definer.Endpoint), revision: revision}
 	for _, name := range slices.Sorted(maps.Keys(builder.endpoints)) {
 		endpoint := builder.endpoints[name]
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -280,11 +280,13 @@
 		}
 		select {
 		case <-renewed:
+			continue
 		case <-timer.C:
-			return news
 		case <-ctx.Done():
-			return news
 		}
+		// The age grew while the reply was held back.
+		news, _ = tracker.news(time.Now(), revision)
+		return news
 	}
 }
 
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,168 @@
+package tracker
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestChangeAfterOutage has the store out for long enough that every host has
+// tried it in vain. Hosts then asked each other in circles, and a reply that
+// was held back told the age from before the hold, so that the circle took its
+// own old copy for proved (seen on the users' bench as CONFIG).
+func TestChangeAfterOutage(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, fleet *fleet) {
+		fleet.store.set(func(store *fakeStore) { store.down = true })
+		time.Sleep(5 * time.Second)
+		fleet.store.set(func(store *fakeStore) { store.down = false })
+		for version := uint64(2); version < 12; version++ {
+			time.Sleep(fleetBound)
+			fleet.store.write("table", fmt.Sprint(version))
+			time.Sleep(fleetBound)
+			if behind := fleet.behind(version); len(behind) > 0 && version > 2 {
+				t.Fatalf("version %d is not known to %v", version, behind)
+			}
+		}
+	})
+}
+
+// TestCircleProvesNothing has two hosts that only reach each other.
+func TestCircleProvesNothing(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, fleet *fleet) {
+		fleet.store.set(func(store *fakeStore) { store.down = true })
+		time.Sleep(10 * time.Second)
+		for name, tracker := range fleet.trackers {
+			if age := tracker.Age(time.Now()); age < 9*time.Second {
+				t.Errorf("%s takes its copy for %v old after 10 s without a reading", name, age)
+			}
+		}
+	})
+}
+
+// TestChangesInForce makes changes under each trouble that leaves a way to
+// learn of them, and wants each in force everywhere within the bound.
+func TestChangesInForce(t *testing.T) {
+	for name, trouble := range map[string]func(fleet *fleet){
+		"none": func(*fleet) {},
+		"silent watches": func(fleet *fleet) {
+			fleet.store.set(func(store *fakeStore) { store.silent = true })
+		},
+		"no history": func(fleet *fleet) {
+			fleet.store.set(func(store *fakeStore) { store.forgotten = store.revision + 1000 })
+		},
+		"a third turned away": func(fleet *fleet) {
+			count := 0
+			fleet.store.set(func(store *fakeStore) {
+				for host := range fleet.trackers {
+					if count++; count%3 == 0 {
+						store.refused[host] = true
+					}
+				}
+			})
+		},
+		"the reader turned away": func(fleet *fleet) {
+			for host, tracker := range fleet.trackers {
+				if at, _ := tracker.place(time.Now()); at == depthFleet {
+					fleet.store.set(func(store *fakeStore) { store.refused[host] = true })
+				}
+			}
+		},
+		"no peers": func(fleet *fleet) {
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
+			for from := range fleet.trackers {
+				for to := range fleet.trackers {
+					fleet.cut[[2]string{from, to}] = true
+				}
+			}
+		},
+		"the reader gone": func(fleet *fleet) {
+			for host, tracker := range fleet.trackers {
+				if at, _ := tracker.place(time.Now()); at == depthFleet {
+					fleet.mu.Lock()
+					fleet.cancels[host]()
+					delete(fleet.trackers, host)
+					fleet.mu.Unlock()
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, func(t *testing.T, fleet *fleet) {
+				trouble(fleet)
+				for version := uint64(2); version < 30; version++ {
+					fleet.store.write("table", fmt.Sprint(version))
+					time.Sleep(fleetBound)
+					if behind := fleet.behind(version); len(behind) > 0 {
+						t.Fatalf("version %d is not known to %v after %v", version, behind, fleetBound)
+					}
+					time.Sleep(time.Duration(version) * 37 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestCallsWhileNothingHappens bounds the readings: one host reads, whatever
+// the size of the fleet.
+func TestCallsWhileNothingHappens(t *testing.T) {
+	for _, perCentre := range []int{2, 20} {
+		inBubble(t, perCentre, func(t *testing.T, fleet *fleet) {
+			fleet.store.set(func(store *fakeStore) { store.calls = 0 })
+			time.Sleep(20 * time.Second)
+			fleet.store.set(func(store *fakeStore) {
+				if most := int(20/(readShare*fleetBound.Seconds())) + 2; store.calls > most {
+					t.Errorf("%d hosts made %d readings in 20 s, want at most %d", 6*perCentre, store.calls, most)
+				}
+			})
+		})
+	}
+}
+
+// TestLapsedEntries keeps endpoints whose entries lapsed in an outage until
+// they are back, and drops those that are not back in time.
+func TestLapsedEntries(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, fleet *fleet) {
+		fleet.store.write("endpoints/a", "ledger")
+		fleet.store.write("endpoints/b", "ledger")
+		fleet.store.write("endpoints/c", "bad")
+		time.Sleep(fleetBound)
+		want := func(count int, when string) {
+			t.Helper()
+			synctest.Wait()
+			for name, tracker := range fleet.trackers {
+				if got := len(tracker.View().Endpoints("ledger")); got != count {
+					t.Fatalf("%s knows %d endpoints %s, want %d", name, got, when, count)
+				}
+			}
+		}
+		want(2, "before the outage")
+		fleet.store.set(func(store *fakeStore) { store.down = true })
+		time.Sleep(4 * time.Second)
+		fleet.store.remove("endpoints/a")
+		fleet.store.remove("endpoints/b")
+		fleet.store.set(func(store *fakeStore) { store.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		want(2, "just after the outage")
+		fleet.store.write("endpoints/a", "ledger")
+		time.Sleep(4 * time.Second)
+		want(1, "when entries that live are back")
+		fleet.store.write("endpoints/a", "ledger draining")
+		time.Sleep(fleetBound)
+		want(0, "when the last one drains")
+	})
+}
+
+// TestNeverBack offers an older routing at a newer revision.
+func TestNeverBack(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, fleet *fleet) {
+		fleet.store.write("table", "7")
+		time.Sleep(fleetBound)
+		fleet.store.write("table", "5")
+		time.Sleep(fleetBound)
+		if behind := fleet.behind(7); len(behind) > 0 {
+			t.Fatalf("%v went back", behind)
+		}
+	})
+}
--- /dev/null
+++ b/internal/tracker/world_test.go
@@ -0,0 +1,267 @@
+package tracker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// fakeStore is a store in memory with the faults of the platform's.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	log      []Item
+	// forgotten is the revision up to which the history is gone.
+	forgotten uint64
+	// down makes calls hang; silent makes Changes tell of nothing.
+	down, silent bool
+	// refused holds the hosts that are turned away.
+	refused map[string]bool
+	calls   int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 1, items: make(map[string]Item), refused: make(map[string]bool)}
+}
+
+func (fakeStore *fakeStore) write(key, value string) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.revision++
+	item := NewItem(key, []byte(value), fakeStore.revision)
+	fakeStore.items[key] = item
+	fakeStore.log = append(fakeStore.log, item)
+}
+
+func (fakeStore *fakeStore) remove(key string) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	fakeStore.revision++
+	delete(fakeStore.items, key)
+	fakeStore.log = append(fakeStore.log, RemovedItem(key, fakeStore.revision))
+}
+
+func (fakeStore *fakeStore) set(change func(*fakeStore)) {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	change(fakeStore)
+}
+
+var errDown = errors.New("no answer")
+
+// seat is the store as one host meets it.
+type seat struct {
+	*fakeStore
+	host string
+}
+
+func (seat *seat) enter(ctx context.Context) error {
+	seat.mu.Lock()
+	seat.calls++
+	down, refused := seat.down, seat.refused[seat.host]
+	seat.mu.Unlock()
+	if down {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+		return connector.NewError(connector.Unavailable, "call", errDown)
+	}
+	if refused {
+		return connector.NewError(connector.Unavailable, "call", errors.New("status 503"))
+	}
+	time.Sleep(8 * time.Millisecond)
+	return ctx.Err()
+}
+
+func (seat *seat) Revision(ctx context.Context) (uint64, error) {
+	if err := seat.enter(ctx); err != nil {
+		return 0, err
+	}
+	seat.mu.Lock()
+	defer seat.mu.Unlock()
+	return seat.revision, nil
+}
+
+func (seat *seat) Scan(ctx context.Context, prefix string) ([]Item, uint64, error) {
+	if err := seat.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	seat.mu.Lock()
+	defer seat.mu.Unlock()
+	var items []Item
+	for _, key := range slices.Sorted(maps.Keys(seat.items)) {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, seat.items[key])
+		}
+	}
+	return items, seat.revision, nil
+}
+
+func (seat *seat) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	if err := seat.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	seat.mu.Lock()
+	defer seat.mu.Unlock()
+	if seat.silent {
+		seat.mu.Unlock()
+		time.Sleep(wait)
+		seat.mu.Lock()
+		return nil, after, nil
+	}
+	if after < seat.forgotten {
+		return nil, 0, connector.NewError(connector.Forgotten, "watch", nil)
+	}
+	var changes []Item
+	for _, change := range seat.log {
+		if change.revision > after {
+			changes = append(changes, change)
+		}
+	}
+	return changes, seat.revision, nil
+}
+
+// textDecoder reads values such as "7" for a table and "ledger" for an
+// endpoint of that service; "bad" can't be read.
+type textDecoder struct{}
+
+func (textDecoder) Table(value []byte) (*definer.RouteTable, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	return definer.NewRouteTable(version, nil, map[string]string{"ledger": "/health"}, definer.CallerLimits{}), err
+}
+
+func (textDecoder) Endpoint(name string, value []byte) (definer.Endpoint, error) {
+	if string(value) == "bad" {
+		return definer.Endpoint{}, errors.New("bad")
+	}
+	service, state, _ := strings.Cut(string(value), " ")
+	return definer.NewEndpoint(name, service, "10.0.0.1:1", definer.Place{}, 4).WithDrained(state == "draining"), nil
+}
+
+func (textDecoder) Host(value []byte) (definer.Host, error) {
+	fields := strings.Fields(string(value))
+	return definer.NewHost(fields[0], fields[0], fields[0], definer.NewPlace(fields[1], fields[2]), 1), nil
+}
+
+// fleet is a number of trackers over one store.
+type fleet struct {
+	store    *fakeStore
+	trackers map[string]*Tracker
+	// cut holds the pairs of hosts that do not reach each other.
+	cut     map[[2]string]bool
+	cancels map[string]context.CancelFunc
+	wait    sync.WaitGroup
+	fetches int
+	mu      sync.Mutex
+}
+
+const fleetBound = 2 * time.Second
+
+type quiet struct{}
+
+func (quiet) Learned(string, ...any)           {}
+func (quiet) Unreadable(string, uint64, error) {}
+
+// link is how one host reaches the others.
+type link struct {
+	*fleet
+	host string
+}
+
+func (link *link) Fetch(ctx context.Context, host string, revision, proof uint64) (News, error) {
+	link.mu.Lock()
+	link.fetches++
+	tracker, cut := link.trackers[host], link.cut[[2]string{link.host, host}] || link.cut[[2]string{host, link.host}]
+	link.mu.Unlock()
+	if cut || tracker == nil {
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	time.Sleep(12 * time.Millisecond)
+	news := tracker.Serve(ctx, revision, proof)
+	time.Sleep(12 * time.Millisecond)
+	return news, ctx.Err()
+}
+
+func newFleet(t *testing.T, perCentre int) *fleet {
+	t.Helper()
+	fleet := &fleet{
+		store: newFakeStore(), trackers: make(map[string]*Tracker),
+		cut: make(map[[2]string]bool), cancels: make(map[string]context.CancelFunc),
+	}
+	fleet.store.write("table", "1")
+	for region := range 3 {
+		for centre := range 2 {
+			for number := range perCentre {
+				name := fmt.Sprintf("host-%d-%d-%d", region, centre, number)
+				place := definer.NewPlace(fmt.Sprint("region-", region), fmt.Sprint("centre-", region, "-", centre))
+				host := definer.NewHost(name, name, name, place, 1)
+				fleet.store.write("hosts/"+name, fmt.Sprintf("%s %s %s", name, place.Region(), place.DataCentre()))
+				keys := NewKeys("table", "endpoints/", "hosts/")
+				fleet.trackers[name] = New(host, &seat{fleet.store, name}, &link{fleet, name}, textDecoder{}, keys, fleetBound, quiet{})
+			}
+		}
+	}
+	for name, tracker := range fleet.trackers {
+		ctx, cancel := context.WithCancel(context.Background())
+		fleet.cancels[name] = cancel
+		for _, task := range []interface{ Run(context.Context) error }{tracker.Poller(), tracker.Puller()} {
+			fleet.wait.Add(1)
+			runner := &taskRunner{fleet: fleet, task: task, ctx: ctx}
+			go runner.run()
+		}
+	}
+	return fleet
+}
+
+type taskRunner struct {
+	fleet *fleet
+	task  interface{ Run(context.Context) error }
+	ctx   context.Context
+}
+
+func (taskRunner *taskRunner) run() {
+	defer taskRunner.fleet.wait.Done()
+	_ = taskRunner.task.Run(taskRunner.ctx)
+}
+
+func (fleet *fleet) stop() {
+	for _, cancel := range fleet.cancels {
+		cancel()
+	}
+	fleet.wait.Wait()
+}
+
+// behind returns the hosts whose routing is older than version.
+func (fleet *fleet) behind(version uint64) []string {
+	var behind []string
+	for _, name := range slices.Sorted(maps.Keys(fleet.trackers)) {
+		if fleet.trackers[name].View().Table().Version() < version {
+			behind = append(behind, name)
+		}
+	}
+	return behind
+}
+
+func inBubble(t *testing.T, perCentre int, test func(t *testing.T, fleet *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(t, perCentre)
+		defer fleet.stop()
+		time.Sleep(3 * time.Second)
+		test(t, fleet)
+	})
+}
