messenger: a stopped peer refuses calls instead of hanging with its mutex held

Cause: a peer's task that ended by its context left a demand in its channel; the next call put a second one in and blocked for ever, with the mutex held. Seen by running TestCostOfMembership 300 times beside another: run 94 printed the stacks.

Ruled out: yamux's timers from another bubble (no such stack), a stream whose deadline was lost.

Change: the end of the task is a state of the peer; ask returns errStopped. TestStoppedPeerTakesNoDemand hangs without it.

--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -49,6 +49,8 @@
 	cause   error
 	retryAt time.Time
 	backoff time.Duration
+	// stopped is true once the task has ended: nobody takes a demand any more.
+	stopped bool
 }
 
 func newPeer(messenger *Messenger, name string) *peer {
@@ -64,16 +66,25 @@
 		case <-peer.demand:
 			peer.settle(ctx, peer.dial(ctx, run))
 		case <-ctx.Done():
-			peer.settle(ctx, ctx.Err())
+			peer.stop(ctx)
 			return
 		}
 	}
 }
 
+// stop ends the attempt that waits for the task, and refuses others.
+func (peer *peer) stop(ctx context.Context) {
+	peer.mu.Lock()
+	peer.stopped = true
+	peer.mu.Unlock()
+	peer.settle(ctx, ctx.Err())
+}
+
 // reset makes the peer ready for its task to start.
 func (peer *peer) reset() {
 	peer.mu.Lock()
 	defer peer.mu.Unlock()
+	peer.stopped = false
 	peer.attempt = nil
 	select {
 	case <-peer.demand:
@@ -133,6 +144,9 @@
 			return link, nil, nil
 		}
 	}
+	if peer.stopped {
+		return nil, nil, errStopped
+	}
 	if peer.attempt != nil {
 		return nil, peer.attempt, nil
 	}
