--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -79,11 +79,7 @@
 }
 
 func runGateway(ctx context.Context, command *cli.Command) error {
-	settings, err := setter.Read(command.String("settings"))
-	if err != nil {
-		return err
-	}
-	gateway, err := launcher.New(settings, os.Stdout)
+	gateway, err := launcher.New(command.String("settings"), os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,9 +115,12 @@
 // SetJournal sets who takes what is decided about requests.
 func (dispatcher *Dispatcher) SetJournal(journal Journal) { dispatcher.journal = journal }
 
-// SetBurst bounds the retries that a service can save up, which is what it may
-// send beyond its share at one time.
-func (dispatcher *Dispatcher) SetBurst(burst float64) { dispatcher.budget.SetBurst(burst) }
+// SetRetries sets the retry budget of each service, at any time: the share of
+// its requests, and the burst that it may save up beyond that.
+func (dispatcher *Dispatcher) SetRetries(share, burst float64) {
+	dispatcher.budget.SetShare(share)
+	dispatcher.budget.SetBurst(burst)
+}
 
 // SetHeldBytes sets the size up to which the answer to a repeatable request is
 // read whole before any of it goes to the caller.
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -99,7 +99,8 @@
 		view := gateway.tracker.View()
 		gateway.placer.Forget(view.Names())
 		most = max(most, len(view.Hosts()))
-		gateway.dispatcher.SetBurst(burstShare * float64(gateway.settings.RetrySlack()) / float64(most))
+		settings := gateway.current.Load()
+		gateway.dispatcher.SetRetries(budgetShare*settings.RetryShare(), budgetShare*float64(settings.RetrySlack())/float64(most))
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -108,9 +109,9 @@
 	}
 }
 
-// burstShare is the part of the fleet's slack that is shared out; the rest is
-// for hosts that are not known yet.
-const burstShare = 0.8
+// budgetShare is the part of the fleet's retry budget that is shared out; the
+// rest is for hosts that are not known yet.
+const budgetShare = 0.8
 
 // reports serves health and metrics on an address of their own.
 type reports struct {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -9,7 +9,7 @@
 //	beliefs    poller, puller, updater
 //	routing    sender
 //	front      metrics, directory, ready, front
-//	fleet      enroller, usher
+//	fleet      reloader, enroller, usher
 //
 // The usher stops first: it takes the host off every list and waits until
 // callers have moved on, while all else still works.
@@ -19,7 +19,10 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -53,7 +56,13 @@
 
 // Gateway is the process of an entry host. Make one with New.
 type Gateway struct {
+	// settings are those of the start; file is where they were read from.
 	settings *setter.Settings
+	file     string
+	// current are the settings read last.
+	current atomic.Pointer[setter.Settings]
+	// hangups gets SIGHUP, from before the settings are read.
+	hangups chan os.Signal
 	// self has the start's time as its incarnation, so it rises.
 	self     definer.Host
 	log      *logger.Log
@@ -73,16 +82,25 @@
 	met atomic.Uint64
 }
 
-// New returns a gateway that logs to output, with all parts made and joined;
-// nothing runs yet.
-func New(settings *setter.Settings, output io.Writer) (*Gateway, error) {
+// New returns a gateway whose settings are in file and that logs to output,
+// with all parts made and joined; nothing runs yet.
+func New(file string, output io.Writer) (*Gateway, error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	settings, err := setter.Read(file)
+	if err != nil {
+		return nil, err
+	}
 	gateway := &Gateway{
+		hangups:  hangups,
 		settings: settings,
+		file:     file,
 		self:     settings.Host(uint64(time.Now().UnixNano())),
 		log:      logger.New(output),
 		recorder: &recorder.Recorder{},
 		registry: metrics.NewRegistry(),
 	}
+	gateway.current.Store(settings)
 	if err := gateway.makeBeliefs(); err != nil {
 		return nil, err
 	}
@@ -157,6 +175,7 @@
 	front.Add("directory", gateway.listen(settings.DirectoryAddress(), protocol))
 	front.Add("ready", gateway.listen(settings.ReadyAddress(), protocol))
 	front.Add("front", gateway.listen(settings.Address(), protocol))
+	fleet.Add("reloader", &reloader{gateway: gateway})
 	fleet.Add("enroller", gateway.enroller)
 	fleet.Add("usher", &usher{gateway: gateway})
 	root.Add("log", gateway.log)
--- a/internal/setter/setter.go
+++ b/internal/setter/setter.go
@@ -126,6 +126,10 @@
 		return setting.problem(strings.Join(values, ", "), "is given more than once; keep one line")
 	}
 	value := section.Key(setting.key).String()
+	if settings.given == nil {
+		settings.given = make(map[string]string)
+	}
+	settings.given[fmt.Sprintf("[%s] %s", setting.section, setting.key)] = value
 	if err := setting.set(settings, value); err != nil {
 		return setting.problem(value, "give "+setting.allowed)
 	}
--- a/internal/setter/settings.go
+++ b/internal/setter/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ed25519"
+	"fmt"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
@@ -10,6 +11,9 @@
 // Settings are the checked settings of one process. See docs/SETTINGS.md for
 // what each means.
 type Settings struct {
+	// given holds what the file says, by "[section] key".
+	given map[string]string
+
 	name        string
 	region      string
 	dataCentre  string
@@ -55,6 +59,19 @@
 	peerSeeds         []definer.Host
 }
 
+// Differences returns the names of the settings that other gives otherwise, in
+// order.
+func (settings *Settings) Differences(other *Settings) []string {
+	var names []string
+	for _, setting := range table {
+		name := fmt.Sprintf("[%s] %s", setting.section, setting.key)
+		if settings.given[name] != other.given[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Host returns the entry host that the settings describe, at an incarnation.
 func (settings *Settings) Host(incarnation uint64) definer.Host {
 	return definer.NewHost(settings.name, settings.address, settings.peerAddress, settings.Place(), incarnation)
