--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -71,6 +71,10 @@
 	// leaving reports whether connections are to end after their answer; nil
 	// for never.
 	leaving func() bool
+	// opened is closed once callers may be served; nil for at once. Until then
+	// their connections wait, for opening at most.
+	opened  <-chan struct{}
+	opening time.Duration
 }
 
 // New returns an acceptor for the callers of host.
@@ -112,6 +116,26 @@
 // after the answer that is next on it.
 func (acceptor *Acceptor) SetLeaving(leaving func() bool) { acceptor.leaving = leaving }
 
+// SetOpening lets connections wait until opened is closed, but no longer than
+// opening: a host that has just started knows what to do with them in a moment.
+func (acceptor *Acceptor) SetOpening(opened <-chan struct{}, opening time.Duration) {
+	acceptor.opened, acceptor.opening = opened, opening
+}
+
+// open waits until callers may be served.
+func (acceptor *Acceptor) open(ctx context.Context) {
+	if acceptor.opened == nil {
+		return
+	}
+	timer := time.NewTimer(acceptor.opening)
+	defer timer.Stop()
+	select {
+	case <-acceptor.opened:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (acceptor *Acceptor) isLeaving() bool { return acceptor.leaving != nil && acceptor.leaving() }
 
 // SetListener gives the acceptor an address that is bound already.
@@ -128,6 +152,7 @@
 	if err != nil {
 		return err
 	}
+	acceptor.open(ctx)
 	stopped := make(chan error, 1)
 	stopper := &stopper{acceptor: acceptor, ctx: ctx, stopped: stopped}
 	go stopper.run()
--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -82,31 +82,79 @@
 	if len(endpoints) == 0 {
 		return nil, refuse(refuser.KindNoEndpoint, "no endpoint of "+request.Pool()+" is known")
 	}
-	want := placer.NewWant(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid())
-	rings := assigner.placer.Rings(time.Now(), endpoints, want)
+	start := time.Now()
+	for round := 0; ; round++ {
+		want := placer.NewWant(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid())
+		choice, asked := assigner.choose(ctx, endpoints, want)
+		if err := ended(ctx); err != nil {
+			return nil, err
+		}
+		verdict := placer.Judge(choice, time.Since(start))
+		if request.Hedge() && !choice.Roomy() {
+			verdict = placer.Refuse
+		}
+		if verdict == placer.Wait && pause(ctx) {
+			continue
+		}
+		if round > 0 {
+			assigner.placer.Waited(want, choice.Roomy())
+		}
+		if verdict == placer.Serve {
+			assigner.note(request, choice, asked, time.Since(start))
+			return assigner.slot(choice, asked, want), nil
+		}
+		if err := ended(ctx); err != nil {
+			return nil, err
+		}
+		if !choice.Found() {
+			return nil, refuse(refuser.KindUnreachable, fmt.Sprintf("none of %d endpoints of %s answers", len(endpoints), request.Pool()))
+		}
+		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time: "+describe(asked))
+	}
+}
+
+// ended returns the refusal of a request whose context has ended, or nil.
+func ended(ctx context.Context) error {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return refuser.New(refuser.KindCancelled, refuser.NotRun, "the caller went away")
+	case ctx.Err() != nil:
+		return refuse(refuser.KindDeadline, "the deadline passed before an endpoint was found")
+	}
+	return nil
+}
+
+// pause waits between two rounds; false where ctx ended.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(placer.Pause/2 + rand.N(placer.Pause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// choose asks ring by ring until a choice is good.
+func (assigner *Assigner) choose(ctx context.Context, endpoints []definer.Endpoint, want placer.Want) (placer.Choice, []placer.Asked) {
 	var asked []placer.Asked
 	var choice placer.Choice
-	for _, ring := range rings {
+	for _, ring := range assigner.placer.Rings(time.Now(), endpoints, want) {
 		asked = append(asked, assigner.ask(ctx, ring)...)
 		choice = assigner.placer.Choose(time.Now(), asked, want)
 		if choice.Good() || ctx.Err() != nil {
 			break
 		}
 	}
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		return nil, refuser.New(refuser.KindCancelled, refuser.NotRun, "the caller went away")
-	case ctx.Err() != nil:
-		return nil, refuse(refuser.KindDeadline, "the deadline passed before an endpoint was found")
-	case !choice.Found():
-		return nil, refuse(refuser.KindUnreachable, fmt.Sprintf("none of %d endpoints of %s answers", len(endpoints), request.Pool()))
-	case choice.Hopeless():
-		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time")
-	}
+	return choice, asked
+}
+
+// note logs a choice with what it rests on.
+func (assigner *Assigner) note(request router.Request, choice placer.Choice, asked []placer.Asked, waited time.Duration) {
 	age, revision := assigner.directory.Belief()
 	assigner.journal.Usual("assigned", "request", request.ID(), "endpoint", choice.Endpoint().Name(),
-		"expected", choice.Run(), "asked", describe(asked), "belief-age", age, "revision", revision)
-	return assigner.slot(choice, asked, want), nil
+		"expected", choice.Run(), "asked", describe(asked), "waited", waited, "belief-age", age, "revision", revision)
 }
 
 // describe returns what each endpoint said of itself.
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -1,13 +1,18 @@
 package dispatcher
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/refuser"
 )
 
-// shedRetryAfter is what a caller waits whose request every endpoint tried shed.
-const shedRetryAfter = time.Second
+// A caller whose request every endpoint tried shed waits between shedRetryLeast
+// and shedRetryMost: endpoints shed for moments, and callers come back apart.
+const (
+	shedRetryLeast = 40 * time.Millisecond
+	shedRetryMost  = 160 * time.Millisecond
+)
 
 // Cause says how an attempt ended without a usable answer.
 type Cause int
@@ -143,7 +148,7 @@
 	}
 	refusal := refuser.New(kind, attempts.ran, failure.cause.String()).WithCause(failure)
 	if kind == refuser.KindOverloaded {
-		return refusal.WithRetryAfter(shedRetryAfter)
+		return refusal.WithRetryAfter(shedRetryLeast + rand.N(shedRetryMost-shedRetryLeast))
 	}
 	return refusal
 }
--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -49,17 +49,34 @@
 }
 
 // spend reports whether a retry is allowed and takes it from the budget.
-func (budget *Budget) spend(service string) bool {
+func (budget *Budget) spend(service string) bool { return budget.spendAbove(service, 0) }
+
+// hedgeReserve is how many retries a hedge leaves for requests that failed.
+const hedgeReserve = 1
+
+// spendSpare is spend for a hedge, which leaves some retries for others.
+func (budget *Budget) spendSpare(service string) bool {
+	return budget.spendAbove(service, hedgeReserve)
+}
+
+func (budget *Budget) spendAbove(service string, reserve float64) bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
 	saved := budget.take(service)
-	if budget.share == 0 || saved < 1 {
+	if budget.share == 0 || saved < 1+reserve {
 		return false
 	}
 	budget.put(service, saved-1)
 	return true
 }
 
+// refund gives back a retry that was not sent.
+func (budget *Budget) refund(service string) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	budget.put(service, budget.take(service)+1)
+}
+
 func (budget *Budget) take(service string) float64 {
 	saved, ok := budget.saved[service]
 	if !ok {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -22,6 +22,8 @@
 	tried []string
 	// isolated keeps the request away from others that may be deadly.
 	isolated bool
+	// hedging is true while a second attempt is started beside one that runs.
+	hedging bool
 	// elsewhere is the time spent in queues and at backend servers.
 	elsewhere time.Duration
 	// keyed is true where the request bears an Idempotency-Key.
@@ -80,6 +82,7 @@
 		router.WithDeadline(deadline),
 		router.WithTarget(call.plan.target),
 		router.WithID(call.id),
+		router.AsHedge(call.hedging),
 		router.Isolated(call.isolated),
 		router.Avoiding(call.tried...),
 	)
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -89,7 +89,7 @@
 	}
 	dispatcher.meters.retry()
 	dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" after "+failure.Error())
-	if failure.sent {
+	if failure.sent && !failure.refused() {
 		pause(race.ctx, call.attempts.made)
 	}
 	return race.start()
@@ -102,15 +102,19 @@
 	if race.running != 1 || !call.plan.repeatable || !call.Replayable() || !call.attempts.left() {
 		return
 	}
-	if !dispatcher.budget.spend(call.service) {
+	if !dispatcher.budget.spendSpare(call.service) {
 		return
 	}
-	dispatcher.meters.hedge()
-	dispatcher.journal.Usual("hedged", "request", call.id, "class", call.plan.class, "tried", call.tried)
+	call.hedging = true
+	defer func() { call.hedging = false }()
 	if err := race.start(); err != nil {
 		// The first attempt still runs; its outcome decides.
 		dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" no hedge: "+err.Error())
+		dispatcher.budget.refund(call.service)
+		return
 	}
+	dispatcher.meters.hedge()
+	dispatcher.journal.Usual("hedged", "request", call.id, "class", call.plan.class, "tried", call.tried)
 }
 
 // start takes a slot and starts an attempt. Its error is a *refuser.Refusal.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -52,6 +52,9 @@
 	// heldBytes is the size up to which the answer to a repeatable request is
 	// read whole before it goes to the caller, so that a cut one is replaced.
 	heldBytes = 256 << 10
+	// openingTime is how long callers' connections wait for a host that has just
+	// started to know the routing: three ways to the store and back.
+	openingTime = 250 * time.Millisecond
 )
 
 // Gateway is the process of an entry host. Make one with New.
@@ -174,7 +177,9 @@
 	protocol := platform.NewFront(&directory{gateway: gateway}, gateway)
 	front.Add("directory", gateway.listen(settings.DirectoryAddress(), protocol))
 	front.Add("ready", gateway.listen(settings.ReadyAddress(), protocol))
-	front.Add("front", gateway.listen(settings.Address(), protocol))
+	callers := gateway.listen(settings.Address(), protocol)
+	callers.SetOpening(gateway.tracker.Known(), openingTime)
+	front.Add("front", callers)
 	fleet.Add("reloader", &reloader{gateway: gateway})
 	fleet.Add("enroller", gateway.enroller)
 	fleet.Add("usher", &usher{gateway: gateway})
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -105,6 +105,11 @@
 	// work is the run time at the usual pace; bytes is the size of an answer.
 	work  float64
 	bytes float64
+	// longest is the longest deadline that a request of the class came with: how
+	// much less another one has tells for how long its caller has tried already.
+	longest time.Duration
+	// luck is the share of the waits for room that found some lately.
+	luck float64
 }
 
 // New returns a placer for a host at place. Requests with the same seed and
@@ -208,10 +213,19 @@
 	run time.Duration
 	// good is false where a wider search may find a better endpoint.
 	good bool
-	// late is true where an answer would come after the deadline.
-	late bool
-	// full is true where the endpoint has no room for another request.
-	full bool
+	// crowded is true where one more request would slow the endpoint down or wait.
+	crowded bool
+	// saturated is true where that holds for all endpoints that were asked.
+	saturated bool
+	// work is how long the request takes on an endpoint at rest.
+	work time.Duration
+	// inTime is how long the request may take to be of full use; below 0 where
+	// it is too late for that.
+	inTime time.Duration
+	// left is the time until the deadline.
+	left time.Duration
+	// luck is the share of the waits for room that found some lately.
+	luck float64
 }
 
 // Endpoint returns the endpoint that was chosen.
@@ -226,51 +240,57 @@
 // Good reports whether a wider search is unlikely to find a better one.
 func (choice Choice) Good() bool { return choice.found && choice.good }
 
-// Hopeless reports whether the request can't be answered in time there.
-func (choice Choice) Hopeless() bool { return !choice.found || choice.late || choice.full }
+// Roomy reports whether the endpoint takes another request without slowing
+// down.
+func (choice Choice) Roomy() bool { return choice.found && !choice.crowded }
+
+// spread is by how much of a run a choice varies at random, by the distance of
+// the endpoint: hosts that saw the same free endpoint do not all go there. What
+// comes from another region is older when it arrives.
+var spread = [...]float64{tierCentre: 0.1, tierRegion: 0.1, tierFar: 0.4, tierCount: 0.4}
+
+// others is how many requests of other hosts are taken to arrive at an endpoint
+// between its answer and this one, by its distance.
+var others = [...]int{tierCentre: 0, tierRegion: 0, tierFar: 1, tierCount: 1}
 
 // goodShare is the part of the time to answer within which an expected run is
 // good enough to look no further.
 const goodShare = 0.6
 
-// fullQueue is how many requests may wait at an endpoint for each of its slots
-// before it counts as full.
-const fullQueue = 2
-
 // Choose picks the endpoint with the least expected cost.
 func (placer *Placer) Choose(now time.Time, asked []Asked, want Want) Choice {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
 	learned := placer.class(want)
 	best, least := Choice{}, math.Inf(1)
+	saturated := true
 	for _, candidate := range asked {
-		run := placer.expect(now, candidate, learned)
-		cost := run + placer.distance(candidate.endpoint, learned)
+		run, crowded := placer.expect(now, candidate, learned)
+		saturated = saturated && crowded
+		cost := run*(1+placer.random.Float64()*spread[placer.tier(candidate.endpoint)]) + placer.distance(candidate.endpoint, learned)
 		if slices.Contains(want.avoid, candidate.endpoint.Name()) {
 			cost *= unhealthyPace
 		}
-		if cost >= least {
-			continue
-		}
-		least = cost
-		report := candidate.report
-		best = Choice{
-			endpoint: candidate.endpoint, found: true, run: time.Duration(run),
-			full: report.Slots() > 0 && report.Waiting() >= fullQueue*report.Slots(),
+		if cost < least {
+			least = cost
+			best = Choice{endpoint: candidate.endpoint, found: true, run: time.Duration(run), crowded: crowded}
 		}
 	}
-	best.late = best.found && best.run > want.left
-	bound := want.left
+	best.saturated = saturated
+	best.work = time.Duration(learned.work)
+	best.left = want.left
+	best.inTime = want.left
 	if want.target > 0 {
-		bound = min(bound, want.target)
+		best.inTime = want.target - (learned.longest - want.left)
 	}
-	best.good = float64(best.run) <= goodShare*float64(bound) && !best.full
+	best.luck = learned.luck
+	best.good = float64(best.run) <= goodShare*float64(min(max(want.target, 0), want.left))
 	return best
 }
 
-// expect returns how long a request is expected to take, in nanoseconds; mu is
-// held.
-func (placer *Placer) expect(now time.Time, asked Asked, learned *class) float64 {
+// expect returns how long a request is expected to take, in nanoseconds, and
+// whether it would crowd the endpoint; mu is held.
+func (placer *Placer) expect(now time.Time, asked Asked, learned *class) (run float64, crowded bool) {
 	report := asked.report
 	pace := report.Pace()
 	if pace <= 0 {
@@ -287,20 +307,19 @@
 	if slots == 0 {
 		slots = asked.endpoint.Slots()
 	}
-	running := report.Running()
+	running := report.Running() + others[placer.tier(asked.endpoint)]
 	if report.Slots() == 0 {
 		running = placer.record(asked.endpoint.Name()).running
 	}
-	busy := float64(running+1) / float64(slots)
-	if busy > crowding {
+	if crowded = float64(running+1) > crowding*float64(slots) && slots > 1; crowded {
 		pace *= crowdedPace
 	}
-	run := learned.work * pace
+	run = learned.work * pace
 	if running >= slots {
 		// On average the first slot comes free after an even part of a run.
 		run += learned.work * pace * float64(report.Waiting()+1) / float64(slots)
 	}
-	return run
+	return run, crowded
 }
 
 // distance returns what the way to an endpoint costs, in nanoseconds.
@@ -321,9 +340,10 @@
 		if want.target > 0 {
 			work = firstWorkShare * float64(want.target)
 		}
-		found = &class{work: work}
+		found = &class{work: work, luck: 1}
 		placer.classes[want.class] = found
 	}
+	found.longest = max(found.longest, want.left)
 	return found
 }
 
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -20,6 +20,8 @@
 	target time.Duration
 	// id names the request in logs.
 	id string
+	// hedge is true for a second attempt beside one that runs.
+	hedge bool
 	// isolated keeps the request off an endpoint that runs another isolated one.
 	isolated bool
 	// avoid names endpoints that are used only where there is no other.
@@ -53,6 +55,10 @@
 // WithID names the request in logs.
 func WithID(id string) RequestOption { return func(request *Request) { request.id = id } }
 
+// AsHedge says whether the request is a second attempt beside one that runs; it
+// takes no room that another request needs.
+func AsHedge(hedge bool) RequestOption { return func(request *Request) { request.hedge = hedge } }
+
 // Isolated lets the request run beside no other isolated one on an endpoint.
 func Isolated(isolated bool) RequestOption {
 	return func(request *Request) { request.isolated = isolated }
@@ -94,6 +100,9 @@
 // ID names the request in logs.
 func (request Request) ID() string { return request.id }
 
+// Hedge reports whether this is a second attempt beside one that runs.
+func (request Request) Hedge() bool { return request.hedge }
+
 // Isolated reports whether the request runs beside no other isolated one.
 func (request Request) Isolated() bool { return request.isolated }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -80,6 +80,8 @@
 	pace    pace
 	journal Journal
 	current atomic.Pointer[View]
+	// known is closed once current is set.
+	known chan struct{}
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -105,7 +107,7 @@
 	return &Tracker{
 		self: self, store: store, peers: peers, journal: journal, pace: pace{bound: bound},
 		builder: builder{decoder: decoder, keys: keys, journal: journal},
-		proof:   self.Incarnation(), renewed: make(chan struct{}), out: make(map[string]time.Time),
+		proof:   self.Incarnation(), renewed: make(chan struct{}), known: make(chan struct{}), out: make(map[string]time.Time),
 	}
 }
 
@@ -146,6 +148,9 @@
 	return place(tracker.self, hosts, tracker.blind, func(name string) bool { return now.Before(tracker.out[name]) })
 }
 
+// Known returns a channel that is closed once there is a view.
+func (tracker *Tracker) Known() <-chan struct{} { return tracker.known }
+
 // prove takes in that the store was at revision at a moment. The caller holds
 // mu; the replica is at revision or beyond.
 func (tracker *Tracker) prove(at time.Time) {
@@ -161,7 +166,9 @@
 // rebuild makes a new view; unseen is true where the store could not be read
 // for a while until now. The caller holds mu.
 func (tracker *Tracker) rebuild(now time.Time, unseen bool) {
-	tracker.current.Store(tracker.builder.build(now, &tracker.replica, unseen))
+	if tracker.current.Swap(tracker.builder.build(now, &tracker.replica, unseen)) == nil {
+		close(tracker.known)
+	}
 }
 
 // unseenAge is the age of a proof from which on entries may have lapsed in an
@@ -170,11 +177,14 @@
 
 // read takes in one reading of the store that began at start.
 func (tracker *Tracker) read(ctx context.Context, start time.Time) error {
+	known := tracker.revision()
+	if known == 0 {
+		return tracker.readAll(ctx, start)
+	}
 	revision, err := tracker.store.Revision(ctx)
 	if err != nil {
 		return err
 	}
-	known := tracker.revision()
 	if revision > known {
 		return tracker.catchUp(ctx, start, known, revision)
 	}
@@ -196,17 +206,20 @@
 // catchUp reads what changed after the revision known, or everything where the
 // store does not tell all of it.
 func (tracker *Tracker) catchUp(ctx context.Context, start time.Time, known, revision uint64) error {
-	if known > 0 {
-		changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait)
-		if err == nil && upTo >= revision && tracker.adopt(start, changes, upTo) {
-			return nil
-		}
-		var failure *connector.CallError
-		if err != nil && (!errors.As(err, &failure) || failure.Kind() != connector.Forgotten) {
-			return err
-		}
-		tracker.journal.Learned("changes are incomplete; reading everything", "after", known, "revision", revision, "told", len(changes))
+	changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait)
+	if err == nil && upTo >= revision && tracker.adopt(start, changes, upTo) {
+		return nil
+	}
+	var failure *connector.CallError
+	if err != nil && (!errors.As(err, &failure) || failure.Kind() != connector.Forgotten) {
+		return err
 	}
+	tracker.journal.Learned("changes are incomplete; reading everything", "after", known, "revision", revision, "told", len(changes))
+	return tracker.readAll(ctx, start)
+}
+
+// readAll reads the whole store.
+func (tracker *Tracker) readAll(ctx context.Context, start time.Time) error {
 	items, asOf, err := tracker.store.Scan(ctx, "")
 	if err != nil {
 		return err
