--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -136,16 +136,16 @@
 	}
 }
 
-// choose asks ring by ring until a choice is good.
+// choose asks ring by ring as long as another one is needed.
 func (assigner *Assigner) choose(ctx context.Context, endpoints []definer.Endpoint, want placer.Want) (placer.Choice, []placer.Asked) {
 	var asked []placer.Asked
 	var choice placer.Choice
 	for _, ring := range assigner.placer.Rings(time.Now(), endpoints, want) {
-		asked = append(asked, assigner.ask(ctx, ring)...)
-		choice = assigner.placer.Choose(time.Now(), asked, want)
-		if choice.Good() || ctx.Err() != nil {
+		if ctx.Err() != nil || !ring.Needed(choice) {
 			break
 		}
+		asked = append(asked, assigner.ask(ctx, ring.Endpoints())...)
+		choice = assigner.placer.Choose(time.Now(), asked, want)
 	}
 	return choice, asked
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -24,8 +24,8 @@
 	// ringSize is how many endpoints are asked at once. The best of four is seldom
 	// among the slow quarter of a service (1 in 256).
 	ringSize = 4
-	// ringMost bounds the rings, and with them the health checks, of a request.
-	ringMost = 3
+	// nearRings bounds the rings within the region; one of other regions follows.
+	nearRings = 2
 )
 
 // What a choice costs beside the run, as time.
@@ -138,8 +138,8 @@
 }
 
 // Rings returns the endpoints to ask, in the order of asking: each ring at
-// once, the next one only where Choose finds nothing good in those before.
-func (placer *Placer) Rings(now time.Time, endpoints []definer.Endpoint, want Want) [][]definer.Endpoint {
+// once, the next one only where it is needed.
+func (placer *Placer) Rings(now time.Time, endpoints []definer.Endpoint, want Want) []Ring {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
 	tiers := make([][]definer.Endpoint, tierCount+1)
@@ -150,23 +150,45 @@
 		}
 		tiers[tier] = append(tiers[tier], endpoint)
 	}
-	var order []definer.Endpoint
+	var rings []Ring
 	for _, tier := range tiers {
 		placer.shuffle(now, tier)
-		order = append(order, tier...)
 	}
-	if usable := len(endpoints) - len(tiers[tierCount]); usable > 0 {
-		order = order[:usable]
-	}
-	var rings [][]definer.Endpoint
-	for ring := range slices.Chunk(order, ringSize) {
-		if len(rings) < ringMost {
-			rings = append(rings, ring)
+	near := append(tiers[tierCentre], tiers[tierRegion]...)
+	for ring := range slices.Chunk(near, ringSize) {
+		if len(rings) < nearRings {
+			rings = append(rings, Ring{endpoints: ring})
 		}
 	}
+	if far := tiers[tierFar]; len(far) > 0 {
+		rings = append(rings, Ring{endpoints: far[:min(ringSize, len(far))], far: true})
+	}
+	if rest := tiers[tierCount]; len(rings) == 0 && len(rest) > 0 {
+		rings = append(rings, Ring{endpoints: rest[:min(ringSize, len(rest))]})
+	}
 	return rings
 }
 
+// Ring is a number of endpoints that are asked at once.
+type Ring struct {
+	endpoints []definer.Endpoint
+	// far is true where they stand in other regions.
+	far bool
+}
+
+// Endpoints returns the endpoints to ask.
+func (ring Ring) Endpoints() []definer.Endpoint { return ring.endpoints }
+
+// Needed reports whether the ring is to be asked, given the choice among those
+// before. Another region is asked only where the own one can't serve in time:
+// the way costs, and what comes back over it is old.
+func (ring Ring) Needed(choice Choice) bool {
+	if ring.far {
+		return !choice.found || choice.run > choice.inTime || choice.run > choice.left
+	}
+	return !choice.good
+}
+
 // tiers of distance.
 const (
 	tierCentre = iota
@@ -211,7 +233,7 @@
 	found bool
 	// run is how long the request is expected to take there.
 	run time.Duration
-	// good is false where a wider search may find a better endpoint.
+	// good is false where a search in the region may find a better endpoint.
 	good bool
 	// crowded is true where one more request would slow the endpoint down or wait.
 	crowded bool
@@ -237,9 +259,6 @@
 // Run returns how long the request is expected to take.
 func (choice Choice) Run() time.Duration { return choice.run }
 
-// Good reports whether a wider search is unlikely to find a better one.
-func (choice Choice) Good() bool { return choice.found && choice.good }
-
 // Roomy reports whether the endpoint takes another request without slowing
 // down.
 func (choice Choice) Roomy() bool { return choice.found && !choice.crowded }
