placer: one ring of endpoints for each distance; 5xx answers are tried again

Dash-reads failed on an endpoint's own 500, which another would have answered.

Four is kept: it holds for data centres with many endpoints.

--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
@@ -23,6 +24,10 @@
 	cancels []context.CancelFunc
 	// outcomes carries how attempts ended.
 	outcomes chan outcome
+	// best is the answer to hand on, and winner the number of its attempt. One
+	// that tells of a failure is kept while another attempt may bring a better.
+	best   *Answer
+	winner int
 	// over is closed once the call has its answer or its refusal.
 	over chan struct{}
 }
@@ -42,8 +47,7 @@
 		dispatcher: dispatcher, call: call, ctx: ctx,
 		outcomes: make(chan outcome), over: make(chan struct{}),
 	}
-	winner := -1
-	defer func() { race.end(winner) }()
+	defer race.end()
 	if err := race.start(); err != nil {
 		return nil, err
 	}
@@ -54,13 +58,8 @@
 		select {
 		case outcome := <-race.outcomes:
 			call.elsewhere += time.Since(wait)
-			race.running--
-			if outcome.err == nil {
-				winner = outcome.number
-				return outcome.answer, nil
-			}
-			if err := race.failed(outcome.err); err != nil {
-				return nil, err
+			if over, err := race.take(outcome); over {
+				return race.best, err
 			}
 		case <-hedge.C:
 			call.elsewhere += time.Since(wait)
@@ -69,6 +68,51 @@
 	}
 }
 
+// take takes in how an attempt ended, and reports whether the call is over: with
+// the best answer, or with a refusal.
+func (race *race) take(outcome outcome) (over bool, err error) {
+	race.running--
+	if outcome.err == nil {
+		race.keep(outcome)
+		return !race.another(), nil
+	}
+	err = race.failed(outcome.err)
+	if err != nil && race.best != nil {
+		return true, nil
+	}
+	return err != nil, err
+}
+
+// keep puts an answer in place of the one kept before.
+func (race *race) keep(outcome outcome) {
+	if race.best != nil {
+		_ = race.best.Close()
+	}
+	race.best, race.winner = outcome.answer, outcome.number
+}
+
+// another reports whether an answer that tells of a failure of the endpoint is
+// put by, since another attempt runs or was started.
+func (race *race) another() bool {
+	call, dispatcher := race.call, race.dispatcher
+	if race.best.status < http.StatusInternalServerError || !call.plan.repeatable {
+		return false
+	}
+	if race.running > 0 {
+		return true
+	}
+	if !call.attempts.left() || !call.Replayable() || !dispatcher.budget.spend(call.service) {
+		return false
+	}
+	if err := race.start(); err != nil {
+		return false // The endpoint's own answer is as good as a refusal.
+	}
+	dispatcher.meters.retry()
+	dispatcher.journal.Usual("tried again after a failure", "request", call.id, "status", race.best.status,
+		"endpoint", race.best.endpoint)
+	return true
+}
+
 // failed takes in a failed attempt: it starts another where that is allowed,
 // and returns why the call ends where none runs any more.
 func (race *race) failed(err error) error {
@@ -142,11 +186,11 @@
 	return nil
 }
 
-// end stops all attempts but the winner, whose answer still needs its own.
-func (race *race) end(winner int) {
+// end stops all attempts but that of the best answer, which still needs its own.
+func (race *race) end() {
 	close(race.over)
 	for number, cancel := range race.cancels {
-		if number != winner {
+		if race.best == nil || number != race.winner {
 			cancel()
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -24,8 +24,6 @@
 	// ringSize is how many endpoints are asked at once. The best of four is seldom
 	// among the slow quarter of a service (1 in 256).
 	ringSize = 4
-	// nearRings bounds the rings within the region; one of other regions follows.
-	nearRings = 2
 )
 
 // What a choice costs beside the run, as time.
@@ -154,10 +152,9 @@
 	for _, tier := range tiers {
 		placer.shuffle(now, tier)
 	}
-	near := append(tiers[tierCentre], tiers[tierRegion]...)
-	for ring := range slices.Chunk(near, ringSize) {
-		if len(rings) < nearRings {
-			rings = append(rings, Ring{endpoints: ring})
+	for _, tier := range tiers[:tierFar] {
+		if len(tier) > 0 {
+			rings = append(rings, Ring{endpoints: tier[:min(ringSize, len(tier))]})
 		}
 	}
 	if far := tiers[tierFar]; len(far) > 0 {
