--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -36,8 +36,8 @@
 	smallBodyBytes = 4 << 10
 )
 
-// proofAge is how long ago a kept connection must have carried an answer for a
-// request that may run only once: endpoints drop idle connections unseen.
+// proofAge is how long a kept connection is trusted with a request that may run
+// only once: endpoints drop idle connections unseen.
 const proofAge = 50 * time.Millisecond
 
 // Sender sends requests to endpoints. Make one with New.
@@ -45,18 +45,25 @@
 	dialer    net.Dialer
 	dialect   Dialect
 	headBytes int
+	// proofAge is how long ago a kept connection must have carried an answer for
+	// a request that may run only once.
+	proofAge time.Duration
 	keeper
 }
 
 // New returns a sender that gives up on a connection after connectTimeout and
 // on an answer whose head is over headBytes bytes.
 func New(connectTimeout time.Duration, headBytes int) *Sender {
-	return &Sender{dialer: dialer.New(connectTimeout), dialect: Plain{}, headBytes: headBytes}
+	return &Sender{dialer: dialer.New(connectTimeout), dialect: Plain{}, headBytes: headBytes, proofAge: proofAge}
 }
 
 // SetDialect replaces the product's own dialect.
 func (sender *Sender) SetDialect(dialect Dialect) { sender.dialect = dialect }
 
+// SetProofAge sets for how long a kept connection is trusted with a request that
+// may run only once; 0 proves it each time.
+func (sender *Sender) SetProofAge(age time.Duration) { sender.proofAge = age }
+
 // Send sends request to endpoint once. Every error is a [dispatcher.Failure].
 // The answer's body must be closed; ctx covers it as well.
 func (sender *Sender) Send(ctx context.Context, endpoint definer.Endpoint, request *dispatcher.Request) (*dispatcher.Answer, error) {
@@ -327,7 +334,7 @@
 		if connection == nil {
 			return sender.dial(ctx, endpoint)
 		}
-		if !once || time.Since(connection.rested) <= proofAge {
+		if !once || time.Since(connection.rested) <= sender.proofAge {
 			return connection, nil
 		}
 		if !strings.HasPrefix(endpoint.HealthPath(), "/") {
