tracker: an outage of the store leaves the tree of peers as it is

Change: a host that can't read the store itself passes nobody over; it tries again by its rank among all hosts; a newer proof of a peer ends its blindness. TestCallsInOutage fails without it (603 and 318 calls of 120 hosts, bounds 600 and 120).

Ruled out: fewer tries by all alone (the readings at the end stay).

--- a/internal/definer/route.go
+++ b/internal/definer/route.go
@@ -139,16 +139,16 @@
 }
 
 // HeaderBytes bounds a request's header.
-func (limits CallerLimits) HeaderBytes() int { return limits.headerBytes }
+func (callerLimits CallerLimits) HeaderBytes() int { return callerLimits.headerBytes }
 
 // BodyBytes bounds a request's body.
-func (limits CallerLimits) BodyBytes() int64 { return limits.bodyBytes }
+func (callerLimits CallerLimits) BodyBytes() int64 { return callerLimits.bodyBytes }
 
 // HeaderTimeout bounds the time to send a header.
-func (limits CallerLimits) HeaderTimeout() time.Duration { return limits.headerTimeout }
+func (callerLimits CallerLimits) HeaderTimeout() time.Duration { return callerLimits.headerTimeout }
 
 // IdleTimeout bounds the rest between requests.
-func (limits CallerLimits) IdleTimeout() time.Duration { return limits.idleTimeout }
+func (callerLimits CallerLimits) IdleTimeout() time.Duration { return callerLimits.idleTimeout }
 
 // RouteTable is the routing that operators have put in force, at one version.
 // It is immutable. The zero value is the empty table at version 0, which
@@ -175,18 +175,18 @@
 }
 
 // Version returns the version, or 0 where there is no table.
-func (table *RouteTable) Version() uint64 { return table.version }
+func (routeTable *RouteTable) Version() uint64 { return routeTable.version }
 
 // Limits returns what a caller may send.
-func (table *RouteTable) Limits() CallerLimits { return table.limits }
+func (routeTable *RouteTable) Limits() CallerLimits { return routeTable.limits }
 
 // Find returns the route with the longest prefix that begins path. A port in
 // host is ignored, and so is its case.
-func (table *RouteTable) Find(host, path string) (Route, bool) {
+func (routeTable *RouteTable) Find(host, path string) (Route, bool) {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
 	}
-	for _, route := range table.routes[strings.ToLower(host)] {
+	for _, route := range routeTable.routes[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.prefix) {
 			return route, true
 		}
@@ -196,15 +196,15 @@
 
 // HealthPath returns the path of the health check of service; false where the
 // table has no such service.
-func (table *RouteTable) HealthPath(service string) (string, bool) {
-	path, ok := table.healthPaths[service]
+func (routeTable *RouteTable) HealthPath(service string) (string, bool) {
+	path, ok := routeTable.healthPaths[service]
 	return path, ok
 }
 
 // Routes returns how many routes the table has.
-func (table *RouteTable) Routes() int {
+func (routeTable *RouteTable) Routes() int {
 	count := 0
-	for _, list := range table.routes {
+	for _, list := range routeTable.routes {
 		count += len(list)
 	}
 	return count
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -21,7 +21,8 @@
 	// the one above before it reads for itself.
 	patienceShare = 0.13
 	// failShare is the part of the bound between two readings that fail, at the
-	// top of the tree; each level below waits as much longer.
+	// top of the tree; each level below waits twice as long as the one above, so
+	// that an outage costs few calls and its end is still seen at once.
 	failShare = 0.2
 	// holdShare is the part of the bound for which a reply to a peer is held back.
 	holdShare = 0.3
@@ -48,7 +49,7 @@
 }
 
 // retry returns how long to wait after a reading that failed.
-func (pace pace) retry(at depth) time.Duration { return pace.share(failShare * float64(at+1)) }
+func (pace pace) retry(at depth) time.Duration { return pace.share(failShare) << at }
 
 // hold returns for how long a reply to a peer is held back at most.
 func (pace pace) hold() time.Duration { return pace.share(holdShare) }
@@ -138,6 +139,9 @@
 	tracker.mu.Lock()
 	changed := tracker.blind != (err != nil)
 	tracker.blind = err != nil
+	if err != nil {
+		tracker.failed = time.Now()
+	}
 	tracker.mu.Unlock()
 	if err == nil {
 		if changed {
@@ -148,8 +152,7 @@
 	if changed {
 		tracker.journal.Learned("store is lost", "error", err, "proof-age", tracker.Age(start))
 	}
-	at, _ := tracker.place(start)
-	wait := tracker.pace.retry(at)
+	wait := tracker.pace.retry(tracker.rank())
 	return time.Now().Add(wait/2 + rand.N(wait/2))
 }
 
@@ -209,7 +212,7 @@
 		return 0
 	}
 	tracker.take(now, news)
-	if at, _ := tracker.place(now); at > depthFleet && news.age > tracker.pace.overdue(at-1) && news.age < never {
+	if at, _ := tracker.place(now); at > depthFleet && !tracker.isBlind() && news.age > tracker.pace.overdue(at-1) && news.age < never {
 		tracker.journal.Learned("peer's proof is overdue", "peer", host, "age", news.age, "revision", news.revision)
 		tracker.passOver(now, host, overdueOutShare)
 		return 0
@@ -217,6 +220,14 @@
 	return news.proof
 }
 
+// isBlind reports whether the host can't read the store itself: an old proof of
+// a peer is then no fault of the peer's.
+func (tracker *Tracker) isBlind() bool {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	return tracker.blind
+}
+
 // passOver leaves a peer alone for a while.
 func (tracker *Tracker) passOver(now time.Time, host string, share float64) {
 	tracker.mu.Lock()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -100,8 +100,10 @@
 	proof uint64
 	// renewed is closed at the next proof, and then replaced.
 	renewed chan struct{}
-	// blind is true where the last reading of the store failed.
-	blind bool
+	// blind is true where the last reading of the store failed, at failed, and no
+	// peer has proved since then that it can be read.
+	blind  bool
+	failed time.Time
 	// out holds until when peers are passed over that did not answer.
 	out map[string]time.Time
 }
@@ -164,6 +166,12 @@
 	return item, ok
 }
 
+// rank returns the host's depth among all hosts, whatever is known of them.
+func (tracker *Tracker) rank() depth {
+	at, _ := place(tracker.self, tracker.View().Hosts(), false, func(string) bool { return false })
+	return at
+}
+
 // prove takes in that the store was at revision at a moment. The caller holds
 // mu; the replica is at revision or beyond.
 func (tracker *Tracker) prove(at time.Time) {
@@ -339,6 +347,7 @@
 	}
 	if news.age < never {
 		tracker.prove(proved)
+		tracker.blind = tracker.blind && !proved.After(tracker.failed)
 	}
 }
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -120,6 +120,29 @@
 	}
 }
 
+// TestCallsInOutage bounds what an outage costs in calls, and the readings when
+// it ends: the fleet does not fall apart into hosts that read for themselves.
+func TestCallsInOutage(t *testing.T) {
+	inBubble(t, 20, func(t *testing.T, fleet *fleet) {
+		count := func(span time.Duration) int {
+			fleet.store.set(func(store *fakeStore) { store.calls = 0 })
+			time.Sleep(span)
+			calls := 0
+			fleet.store.set(func(store *fakeStore) { calls = store.calls })
+			return calls
+		}
+		hosts := len(fleet.trackers)
+		fleet.store.set(func(store *fakeStore) { store.down = true })
+		if calls := count(8 * time.Second); calls > 5*hosts {
+			t.Errorf("%d hosts made %d calls in an outage of 8 s, want at most %d", hosts, calls, 5*hosts)
+		}
+		fleet.store.set(func(store *fakeStore) { store.down = false })
+		if calls := count(8 * time.Second); calls > hosts {
+			t.Errorf("%d hosts made %d calls in the 8 s after it, want at most %d", hosts, calls, hosts)
+		}
+	})
+}
+
 // TestLapsedEntries keeps endpoints whose entries lapsed in an outage until
 // they are back, and drops those that are not back in time.
 func TestLapsedEntries(t *testing.T) {
