tracker, placer: a watch that hangs is given up soon; trouble refuses nobody

Hosts turned away could also ask each other in circles and never a host that had read. And a request was refused while endpoints were idle, since remembered trouble counted as their run time.

Change: a failed watch is followed by a whole reading at once; blind hosts pass over peers with overdue proofs for a short time; trouble and bad health raise an endpoint's cost only.

Ruled out: the store's answers (its revisions were right all the while).

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -281,12 +281,10 @@
 	best, least := Choice{}, math.Inf(1)
 	saturated := true
 	for _, candidate := range asked {
-		run, crowded := placer.expect(now, candidate, learned)
+		run, crowded := placer.expect(candidate, learned)
 		saturated = saturated && crowded
 		cost := run*(1+placer.random.Float64()*spread[placer.tier(candidate.endpoint)]) + placer.distance(candidate.endpoint, learned)
-		if slices.Contains(want.avoid, candidate.endpoint.Name()) {
-			cost *= unhealthyPace
-		}
+		cost *= placer.distrust(now, candidate, want)
 		if cost < least {
 			least = cost
 			best = Choice{endpoint: candidate.endpoint, found: true, run: time.Duration(run), crowded: crowded}
@@ -304,9 +302,23 @@
 	return best
 }
 
+// distrust returns by how much an endpoint's cost is raised for what is known of
+// it beside its load. It has no say in whether a request can be served in time:
+// an endpoint that broke others may still answer this one. mu is held.
+func (placer *Placer) distrust(now time.Time, asked Asked, want Want) float64 {
+	distrust := 1 + troublePace*placer.trouble(now, asked.Name())
+	if !asked.report.Healthy() {
+		distrust *= unhealthyPace
+	}
+	if slices.Contains(want.avoid, asked.Name()) {
+		distrust *= unhealthyPace
+	}
+	return distrust
+}
+
 // expect returns how long a request is expected to take, in nanoseconds, and
 // whether it would crowd the endpoint; mu is held.
-func (placer *Placer) expect(now time.Time, asked Asked, learned *class) (run float64, crowded bool) {
+func (placer *Placer) expect(asked Asked, learned *class) (run float64, crowded bool) {
 	report := asked.report
 	pace := report.Pace()
 	if pace <= 0 {
@@ -315,10 +327,6 @@
 	if asked.endpoint.Cold() > 0 {
 		pace *= coldPace
 	}
-	if !report.Healthy() {
-		pace *= unhealthyPace
-	}
-	pace *= 1 + troublePace*placer.trouble(now, asked.endpoint.Name())
 	slots := report.Slots()
 	if slots == 0 {
 		slots = asked.endpoint.Slots()
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -196,6 +196,24 @@
 	}
 }
 
+// TestTroubleRefusesNobody has the only endpoints with room be ones that broke
+// requests a moment ago. A request was refused as hopeless then, though they
+// were idle (seen in the logs of tausi-ops trouble-1).
+func TestTroubleRefusesNobody(t *testing.T) {
+	placer := New(here, 1)
+	h := testEndpoints(here, "h", 2)
+	now := time.Now()
+	for _, endpoint := range h {
+		for range troubleMost {
+			placer.Broke(now, endpoint.Name(), 1)
+		}
+	}
+	choice := placer.Choose(now, []Asked{asked(h[0], 0, 0, 1), asked(h[1], 1, 0, 1)}, want())
+	if verdict := Judge(choice, 0); verdict != Serve {
+		t.Errorf("with idle endpoints a request gets %v, want to be served", verdict)
+	}
+}
+
 // TestForget drops what is known of endpoints that are gone.
 func TestForget(t *testing.T) {
 	placer := New(here, 1)
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -33,6 +33,10 @@
 	// from the store mostly lasts.
 	outShare        = 1
 	overdueOutShare = 3
+	blindOutShare   = 0.5
+	// overdueHoldShare is the part of the bound for which a reply is held back
+	// whose proof is overdue: another peer may have a better one.
+	overdueHoldShare = 0.1
 )
 
 func (pace pace) share(share float64) time.Duration {
@@ -66,7 +70,7 @@
 	if left := pace.overdue(at) - age; left > 0 {
 		return min(left, pace.hold())
 	}
-	return pace.hold()
+	return pace.share(overdueHoldShare)
 }
 
 // fetch bounds a question to a peer.
@@ -212,20 +216,24 @@
 		return 0
 	}
 	tracker.take(now, news)
-	if at, _ := tracker.place(now); at > depthFleet && !tracker.isBlind() && news.age > tracker.pace.overdue(at-1) && news.age < never {
+	if at, _ := tracker.place(now); at > depthFleet && news.age > tracker.pace.overdue(at-1) && news.age < never {
 		tracker.journal.Learned("peer's proof is overdue", "peer", host, "age", news.age, "revision", news.revision)
-		tracker.passOver(now, host, overdueOutShare)
+		tracker.passOver(now, host, tracker.overdueOut())
 		return 0
 	}
 	return news.proof
 }
 
-// isBlind reports whether the host can't read the store itself: an old proof of
-// a peer is then no fault of the peer's.
-func (tracker *Tracker) isBlind() bool {
+// overdueOut returns for how many times the bound a peer with an overdue proof
+// is passed over. A host that can't read the store itself only tries the others
+// in turn: the store may be lost to all.
+func (tracker *Tracker) overdueOut() float64 {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	return tracker.blind
+	if tracker.blind {
+		return blindOutShare
+	}
+	return overdueOutShare
 }
 
 // passOver leaves a peer alone for a while.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -13,12 +13,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/chivespool/chivespool/internal/connector"
 	"github.com/chivespool/chivespool/internal/definer"
 )
 
@@ -229,14 +227,10 @@
 // store does not tell all of it.
 func (tracker *Tracker) catchUp(ctx context.Context, start time.Time, known, revision uint64) error {
 	for {
-		changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait)
-		var failure *connector.CallError
-		if err != nil && (!errors.As(err, &failure) || failure.Kind() != connector.Forgotten) {
-			return err
-		}
+		changes, upTo, err := tracker.changes(ctx, known)
 		if err != nil || upTo <= known || !tracker.adopt(start, changes, upTo, revision) {
 			tracker.journal.Learned("changes are incomplete; reading everything", "after", known, "to", upTo,
-				"revision", revision, "told", len(changes))
+				"revision", revision, "told", len(changes), "error", err)
 			return tracker.readAll(ctx, start)
 		}
 		if upTo >= revision {
@@ -246,6 +240,14 @@
 	}
 }
 
+// changes asks for the changes after a revision; a watch that hangs is given up
+// soon, since the store has just answered another call.
+func (tracker *Tracker) changes(ctx context.Context, after uint64) ([]Item, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
+	defer cancel()
+	return tracker.store.Changes(ctx, "", after, changesWait)
+}
+
 // readFirst reads the whole store as cheaply as it can be had. That proves
 // nothing, but tells of the peers: one of them has the rest and the proof.
 func (tracker *Tracker) readFirst(ctx context.Context) error {
@@ -305,6 +307,10 @@
 // already.
 const changesWait = 20 * time.Millisecond
 
+// changesTimeout bounds the call: a store that is slow takes a quarter of a
+// second for an answer.
+const changesTimeout = 400 * time.Millisecond
+
 // adopt takes in changes up to upTo; false where they are not whole. Where that
 // is as far as the store's revision, it is a proof.
 func (tracker *Tracker) adopt(start time.Time, changes []Item, upTo, revision uint64) bool {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,19 +51,15 @@
 		"silent watches": func(fleet *fleet) {
 			fleet.store.set(func(store *fakeStore) { store.silent = true })
 		},
+		"hung watches": func(fleet *fleet) {
+			fleet.store.set(func(store *fakeStore) { store.hung = true })
+		},
 		"no history": func(fleet *fleet) {
 			fleet.store.set(func(store *fakeStore) { store.forgotten = store.revision + 1000 })
 		},
-		"a third turned away": func(fleet *fleet) {
-			count := 0
-			fleet.store.set(func(store *fakeStore) {
-				for host := range fleet.trackers {
-					if count++; count%3 == 0 {
-						store.refused[host] = true
-					}
-				}
-			})
-		},
+		"a third turned away":       turnAway(0),
+		"another third turned away": turnAway(1),
+		"the rest turned away":      turnAway(2),
 		"the reader turned away": func(fleet *fleet) {
 			for host, tracker := range fleet.trackers {
 				if at, _ := tracker.place(time.Now()); at == depthFleet {
@@ -104,6 +103,39 @@
 	}
 }
 
+// turnAway has the store turn every third host away, from the one with a number
+// on in the order of their names.
+func turnAway(first int) func(fleet *fleet) {
+	return func(fleet *fleet) {
+		for index, host := range slices.Sorted(maps.Keys(fleet.trackers)) {
+			if index%3 == first {
+				fleet.store.set(func(store *fakeStore) { store.refused[host] = true })
+			}
+		}
+	}
+}
+
+// TestManyTurnedAway turns other halves of the fleet away, drawn by a seed.
+func TestManyTurnedAway(t *testing.T) {
+	for seed := range uint64(24) {
+		inBubble(t, 3, func(t *testing.T, fleet *fleet) {
+			random := rand.New(rand.NewPCG(seed, seed))
+			for _, host := range slices.Sorted(maps.Keys(fleet.trackers)) {
+				if random.IntN(3) == 0 {
+					fleet.store.set(func(store *fakeStore) { store.refused[host] = true })
+				}
+			}
+			for version := uint64(2); version < 6; version++ {
+				fleet.store.write("table", fmt.Sprint(version))
+				time.Sleep(fleetBound)
+				if behind := fleet.behind(version); len(behind) > 0 {
+					t.Errorf("seed %d: version %d is not known to %v after %v", seed, version, behind, fleetBound)
+				}
+			}
+		})
+	}
+}
+
 // TestCallsWhileNothingHappens bounds the readings: one host reads, whatever
 // the size of the fleet.
 func TestCallsWhileNothingHappens(t *testing.T) {
--- a/internal/tracker/world_test.go
+++ b/internal/tracker/world_test.go
@@ -25,8 +25,9 @@
 	log      []Item
 	// forgotten is the revision up to which the history is gone.
 	forgotten uint64
-	// down makes calls hang; silent makes Changes tell of nothing.
-	down, silent bool
+	// down makes calls hang; silent makes Changes tell of nothing, and hung makes
+	// it hang.
+	down, silent, hung bool
 	// refused holds the hosts that are turned away.
 	refused map[string]bool
 	calls   int
@@ -120,6 +121,16 @@
 		return nil, 0, err
 	}
 	seat.mu.Lock()
+	hung := seat.hung
+	seat.mu.Unlock()
+	if hung {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+		return nil, 0, connector.NewError(connector.Unavailable, "watch", errDown)
+	}
+	seat.mu.Lock()
 	defer seat.mu.Unlock()
 	if seat.silent {
 		seat.mu.Unlock()
