--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -1,5 +1,5 @@
 // Package connector is the client of the platform: its key-value store and its
-// host list, both met over HTTP with JSON as docs/PLATFORM.md describes. It
+// host list, both met over HTTP with JSON as docs/STAND-INS.md describes. It
 // counts every call that it makes.
 //
 // Users declare the small interface that they need at their own side; [Store]
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -1,6 +1,6 @@
 // Package emulator holds small stand-ins for what surrounds chivespool: the
 // platform's store and host list, and backend servers. Each can be made to
-// fail, lag or mislead over HTTP while it runs. docs/PLATFORM.md describes what
+// fail, lag or mislead over HTTP while it runs. docs/STAND-INS.md describes what
 // they speak.
 //
 // The stand-ins share no code with the product, so that a mistake in one is
--- a/internal/sender/dialect.go
+++ b/internal/sender/dialect.go
@@ -44,7 +44,7 @@
 	Health(response *http.Response, endpoint definer.Endpoint) (definer.Report, bool)
 }
 
-// The headers agreed with backend servers; docs/PLATFORM.md describes them.
+// The headers agreed with backend servers; docs/STAND-INS.md describes them.
 const (
 	HeaderRequestID = "Request-Id"
 	// HeaderTimeout carries the time left in milliseconds.
