--- a/internal/emulator/store_handler.go
+++ b/internal/emulator/store_handler.go
@@ -52,7 +52,7 @@
 			return refuse(c, http.StatusServiceUnavailable, "the store has an outage")
 		}
 		if store.losesReply() {
-			c.SetResponse(echo.NewResponse(&discarder{header: make(http.Header)}, c.Echo()))
+			c.SetResponse(echo.NewResponse(NewDiscarder(), c.Echo()))
 			_ = next(c)
 			panic(http.ErrAbortHandler)
 		}
@@ -67,18 +67,6 @@
 	return store.currentFaults().Outage
 }
 
-// discarder drops an answer whose effect is wanted and whose text is not.
-type discarder struct{ header http.Header }
-
-// Header returns headers that nobody reads.
-func (discarder *discarder) Header() http.Header { return discarder.header }
-
-// Write drops data.
-func (discarder *discarder) Write(data []byte) (int, error) { return len(data), nil }
-
-// WriteHeader drops the status.
-func (discarder *discarder) WriteHeader(int) {}
-
 func (store *Store) serveGet(c echo.Context) error {
 	if c.QueryParam("wait-ms") != "" {
 		return store.serveWatch(c)
