chivespoold: a second SIGTERM cuts nothing

Ruled out: the grace time, which was not over. Before: TestSecondStop died of the signal. A second SIGINT still ends the process. Conclusion: only a keyboard may be impatient.

--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -30,9 +30,8 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := notifyStop(context.Background())
 	defer stop()
-	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
 	if err := command().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "chivespoold:", err)
 		klog.Flush()
@@ -41,6 +40,15 @@
 	klog.Flush()
 }
 
+// notifyStop returns a context that ends at the first SIGINT or SIGTERM. A
+// second SIGTERM changes nothing, since requests still end; a second SIGINT, as
+// from a keyboard, ends the process at once.
+func notifyStop(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(parent, syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
+	return ctx, stop
+}
+
 func command() *cli.Command {
 	settings := &cli.StringFlag{Name: "settings", Usage: "read settings from `FILE` (INI; docs/SETTINGS.md)", Required: true}
 	return &cli.Command{
