tracker: a host that loses the store asks all of its peers again

Cause: in an outage the proof of the host that reads for all grows old, and the others pass it over for three times the bound. Ruled out: the pause between tries alone; shorter ones cost calls in every outage. Before: TestChangesAfterShortOutage failed after outages of 1.2 and 1.4 s on five hosts. Conclusion: what was overdue before the own reading failed says nothing of the peer.

--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -146,6 +146,11 @@
 	if err != nil {
 		tracker.failed = time.Now()
 	}
+	if changed && err != nil {
+		// What was overdue may have been the store's fault: the first to read it
+		// again may be any peer, and most likely the one that reads most often.
+		clear(tracker.out)
+	}
 	tracker.mu.Unlock()
 	if err == nil {
 		if changed {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -30,6 +30,42 @@
 	})
 }
 
+// TestChangesAfterShortOutage has the store out for about as long as a call is
+// waited for, and writes on all the while. Once the store has been back for a
+// while, each change must be in force within the bound. A host that had passed
+// its peers over, and so stood above them all, still kept to the pause that it
+// had taken after its own reading had failed (seed 18 of the soak).
+func TestChangesAfterShortOutage(t *testing.T) {
+	const calm, writing = 3 * time.Second, 250 * time.Millisecond
+	for _, layout := range []layout{{1, 1, 5}, {1, 1, 14}, {3, 2, 3}} {
+		for outage := 200 * time.Millisecond; outage < 3*time.Second; outage += 200 * time.Millisecond {
+			inBubbleOf(t, layout, func(t *testing.T, fleet *fleet) {
+				fleet.store.set(func(store *fakeStore) { store.down = true })
+				time.Sleep(outage)
+				fleet.store.set(func(store *fakeStore) { store.down = false })
+				back, version := time.Now(), uint64(1)
+				written := map[uint64]time.Time{}
+				for time.Since(back) < calm+3*time.Second {
+					version++
+					fleet.store.write("table", fmt.Sprint(version))
+					written[version] = time.Now()
+					time.Sleep(writing)
+					due := uint64(1)
+					for known, at := range written {
+						if time.Since(at) >= fleetBound {
+							due = max(due, known)
+						}
+					}
+					if behind := fleet.behind(due); time.Since(back) >= calm && len(behind) > 0 {
+						t.Errorf("%+v: %v after an outage of %v, version %d is not known to %v", layout, time.Since(back), outage, due, behind)
+						return
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestCircleProvesNothing has two hosts that only reach each other.
 func TestCircleProvesNothing(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, fleet *fleet) {
--- a/internal/tracker/world_test.go
+++ b/internal/tracker/world_test.go
@@ -212,16 +212,20 @@
 	return news, ctx.Err()
 }
 
-func newFleet(t *testing.T, perCentre int) *fleet {
+// layout says how many regions a fleet has, data centres in each, and hosts in
+// each of those.
+type layout struct{ regions, centres, hosts int }
+
+func newFleet(t *testing.T, layout layout) *fleet {
 	t.Helper()
 	fleet := &fleet{
 		store: newFakeStore(), trackers: make(map[string]*Tracker),
 		cut: make(map[[2]string]bool), cancels: make(map[string]context.CancelFunc),
 	}
 	fleet.store.write("table", "1")
-	for region := range 3 {
-		for centre := range 2 {
-			for number := range perCentre {
+	for region := range layout.regions {
+		for centre := range layout.centres {
+			for number := range layout.hosts {
 				name := fmt.Sprintf("host-%d-%d-%d", region, centre, number)
 				place := definer.NewPlace(fmt.Sprint("region-", region), fmt.Sprint("centre-", region, "-", centre))
 				host := definer.NewHost(name, name, name, place, 1)
@@ -273,9 +277,14 @@
 }
 
 func inBubble(t *testing.T, perCentre int, test func(t *testing.T, fleet *fleet)) {
+	t.Helper()
+	inBubbleOf(t, layout{regions: 3, centres: 2, hosts: perCentre}, test)
+}
+
+func inBubbleOf(t *testing.T, layout layout, test func(t *testing.T, fleet *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fleet := newFleet(t, perCentre)
+		fleet := newFleet(t, layout)
 		defer fleet.stop()
 		time.Sleep(3 * time.Second)
 		test(t, fleet)
