placer: two endpoints are asked first, two more where neither is as usual

Ruled out: asking two only; a slow endpoint takes its slot for longer, which costs capacity at the crest.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,13 +19,6 @@
 	"github.com/chivespool/chivespool/internal/definer"
 )
 
-// How many endpoints are asked.
-const (
-	// ringSize is how many endpoints are asked at once. The best of four is seldom
-	// among the slow quarter of a service (1 in 256).
-	ringSize = 4
-)
-
 // What a choice costs beside the run, as time.
 const (
 	// regionTrip is what a request between regions takes longer, there and back.
@@ -135,83 +128,6 @@
 	return Want{class: class, left: left, target: target, avoid: avoid}
 }
 
-// Rings returns the endpoints to ask, in the order of asking: each ring at
-// once, the next one only where it is needed.
-func (placer *Placer) Rings(now time.Time, endpoints []definer.Endpoint, want Want) []Ring {
-	placer.mu.Lock()
-	defer placer.mu.Unlock()
-	tiers := make([][]definer.Endpoint, tierCount+1)
-	for _, endpoint := range endpoints {
-		tier := placer.tier(endpoint)
-		if slices.Contains(want.avoid, endpoint.Name()) || placer.isOut(now, endpoint.Name()) {
-			tier = tierCount
-		}
-		tiers[tier] = append(tiers[tier], endpoint)
-	}
-	var rings []Ring
-	for _, tier := range tiers {
-		placer.shuffle(now, tier)
-	}
-	for _, tier := range tiers[:tierFar] {
-		if len(tier) > 0 {
-			rings = append(rings, Ring{endpoints: tier[:min(ringSize, len(tier))]})
-		}
-	}
-	if far := tiers[tierFar]; len(far) > 0 {
-		rings = append(rings, Ring{endpoints: far[:min(ringSize, len(far))], far: true})
-	}
-	if rest := tiers[tierCount]; len(rings) == 0 && len(rest) > 0 {
-		rings = append(rings, Ring{endpoints: rest[:min(ringSize, len(rest))]})
-	}
-	return rings
-}
-
-// Ring is a number of endpoints that are asked at once.
-type Ring struct {
-	endpoints []definer.Endpoint
-	// far is true where they stand in other regions.
-	far bool
-}
-
-// Endpoints returns the endpoints to ask.
-func (ring Ring) Endpoints() []definer.Endpoint { return ring.endpoints }
-
-// Needed reports whether the ring is to be asked, given the choice among those
-// before. Another region is asked only where the own one can't serve in time:
-// the way costs, and what comes back over it is old.
-func (ring Ring) Needed(choice Choice) bool {
-	if ring.far {
-		return !choice.found || choice.run > choice.inTime || choice.run > choice.left
-	}
-	return !choice.good
-}
-
-// tiers of distance.
-const (
-	tierCentre = iota
-	tierRegion
-	tierFar
-	tierCount
-)
-
-func (placer *Placer) tier(endpoint definer.Endpoint) int {
-	switch {
-	case endpoint.Place() == placer.place:
-		return tierCentre
-	case endpoint.Place().Region() == placer.place.Region():
-		return tierRegion
-	}
-	return tierFar
-}
-
-// shuffle orders endpoints at random, those with trouble last; mu is held.
-func (placer *Placer) shuffle(now time.Time, endpoints []definer.Endpoint) {
-	placer.random.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
-	slices.SortStableFunc(endpoints, func(a, b definer.Endpoint) int {
-		return int(placer.trouble(now, a.Name())) - int(placer.trouble(now, b.Name()))
-	})
-}
-
 // Asked is an endpoint with what it said of itself.
 type Asked struct {
 	endpoint definer.Endpoint
@@ -232,6 +148,8 @@
 	run time.Duration
 	// good is false where a search in the region may find a better endpoint.
 	good bool
+	// usual is true where the endpoint has room and works about as fast as usual.
+	usual bool
 	// crowded is true where one more request would slow the endpoint down or wait.
 	crowded bool
 	// saturated is true where that holds for all endpoints that were asked.
@@ -298,6 +216,7 @@
 		best.inTime = want.target - (learned.longest - want.left)
 	}
 	best.luck = learned.luck
+	best.usual = best.found && !best.crowded && float64(best.run) <= usualShare*learned.work
 	best.good = float64(best.run) <= goodShare*float64(min(max(want.target, 0), want.left))
 	return best
 }
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -34,24 +35,82 @@
 	return NewAsked(endpoint, definer.NewReport(true, running, waiting, 4, pace))
 }
 
-// TestRingsGoOutward asks the own data centre first, and never more than one
-// ring for each distance.
+// TestRingsGoOutward asks the own data centre first, and never more than
+// ringSize endpoints at one distance.
 func TestRingsGoOutward(t *testing.T) {
 	placer := New(here, 1)
 	endpoints := append(testEndpoints(far, "f", 20), testEndpoints(near, "n", 9)...)
 	endpoints = append(endpoints, testEndpoints(here, "h", 3)...)
-	rings := placer.Rings(time.Now(), endpoints, want())
-	if len(rings) != 3 {
-		t.Fatalf("%d rings, want one for each distance", len(rings))
-	}
-	for index, first := range []byte{'h', 'n', 'f'} {
-		for _, endpoint := range rings[index].Endpoints() {
+	counts, order := make(map[byte]int), ""
+	for index, ring := range placer.Rings(time.Now(), endpoints, want()) {
+		first := ring.Endpoints()[0].Name()[0]
+		if order == "" || order[len(order)-1] != first {
+			order += string(first)
+		}
+		for _, endpoint := range ring.Endpoints() {
+			counts[first]++
 			if endpoint.Name()[0] != first {
-				t.Errorf("ring %d asks %s", index, endpoint.Name())
+				t.Errorf("ring %d asks %s beside those of another distance", index, endpoint.Name())
+			}
+		}
+	}
+	if order != "hnf" || counts['h'] != 3 || counts['n'] != ringSize || counts['f'] != ringSize {
+		t.Errorf("asked in the order %s: %v", order, counts)
+	}
+}
+
+// TestAskedByLoad replays a calm day, with a quarter of the endpoints slowed
+// down by their neighbours at any moment, and a crest. On the calm day few are
+// asked and hardly a request meets a slow endpoint; at the crest all four are.
+func TestAskedByLoad(t *testing.T) {
+	const requests = 2000
+	for name, test := range map[string]struct {
+		// busiest bounds the slots in use at an endpoint.
+		busiest int
+		// least and most bound the mean of endpoints asked; slow is the share of
+		// requests that may meet a slow one.
+		least, most, slow float64
+	}{
+		"calm day": {2, 2, 3, 0.01},
+		"crest":    {4, 3, 4, 0.3},
+	} {
+		random := rand.New(rand.NewPCG(1, 2))
+		placer := New(here, 1)
+		endpoints := testEndpoints(here, "h", 4)
+		questions, slow := 0, 0
+		for range requests {
+			reports := make(map[string]Asked)
+			for _, endpoint := range endpoints {
+				pace := 1.0
+				if random.Float64() < 0.25 {
+					pace = 5
+				}
+				busy := random.IntN(test.busiest + 1)
+				if test.busiest == 4 {
+					busy = max(busy, 3)
+				}
+				reports[endpoint.Name()] = asked(endpoint, busy, 0, pace)
+			}
+			var answers []Asked
+			var choice Choice
+			for _, ring := range placer.Rings(time.Now(), endpoints, want()) {
+				if !ring.Needed(choice) {
+					break
+				}
+				for _, endpoint := range ring.Endpoints() {
+					answers = append(answers, reports[endpoint.Name()])
+				}
+				choice = placer.Choose(time.Now(), answers, want())
+			}
+			questions += len(answers)
+			if reports[choice.Endpoint().Name()].Report().Pace() > 1 {
+				slow++
 			}
 		}
-		if got := len(rings[index].Endpoints()); got > ringSize {
-			t.Errorf("ring %d asks %d endpoints", index, got)
+		mean, share := float64(questions)/requests, float64(slow)/requests
+		t.Logf("%s: %.2f asked for a request, %.3f meet a slow endpoint", name, mean, share)
+		if mean < test.least || mean > test.most || share > test.slow {
+			t.Errorf("%s: %.2f asked for a request, %.3f meet a slow endpoint", name, mean, share)
 		}
 	}
 }
