tracker, messenger: a host that starts while the store is out asks a seed

Cause: a host that starts knows its peers from the store only. Ruled out: longer opening of connections; the outage lasts for seconds. Change: the settings name up to three hosts; a host that has had no copy of the store for a tenth of the apply bound asks them in turn.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -122,9 +122,15 @@
 	if settings.PlainPeers() {
 		gateway.messenger.AllowPlain()
 	}
+	gateway.messenger.SetSeeds(settings.PeerSeeds())
 	keys := tracker.NewKeys(platform.ConfigurationKey, platform.EndpointPrefix, hostPrefix)
 	gateway.tracker = tracker.New(gateway.self, gateway.store, &peers{gateway: gateway},
 		platform.NewDecoder(settings.Regions()), keys, settings.ApplyBound(), gateway.log)
+	var seeds []string
+	for _, seed := range settings.PeerSeeds() {
+		seeds = append(seeds, seed.Name())
+	}
+	gateway.tracker.SetSeeds(seeds)
 	// Without the incarnation, the next start finds its registration as it is.
 	value, err := encoder.MarshalHost(definer.NewHost(gateway.self.Name(), gateway.self.Address(),
 		gateway.self.PeerAddress(), gateway.self.Place(), 0))
--- a/internal/messenger/hello.go
+++ b/internal/messenger/hello.go
@@ -99,7 +99,7 @@
 		return nil, nil, &RefusalError{hello.GetRefusal()}
 	}
 	err := messenger.check(conn, hello)
-	if err == nil && hello.GetHost() != name {
+	if settings := messenger.snapshot(); err == nil && hello.GetHost() != name && !settings.isSeed(name) {
 		err = &RefusalError{fmt.Sprintf("host %q answers at the address of %q", hello.GetHost(), name)}
 	}
 	if err != nil {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,7 +72,9 @@
 	// credentials is nil where links are plain.
 	credentials *Credentials
 	// plain is true where links may go without TLS beyond loopback.
-	plain    bool
+	plain bool
+	// seeds are hosts whose names are not known; those here stand for them.
+	seeds    []definer.Host
 	recorder Recorder
 	handler  Handler
 	digests  DigestHandler
@@ -152,7 +155,7 @@
 	messenger.mu.Lock()
 	defer messenger.mu.Unlock()
 	dialled := make(map[string]bool, len(hosts))
-	for _, host := range hosts {
+	for _, host := range append(slices.Clone(messenger.seeds), hosts...) {
 		if host.Name() == messenger.self.Name() {
 			continue
 		}
@@ -167,6 +170,19 @@
 	}
 }
 
+// SetSeeds sets hosts that may be dialled before any other is known, under
+// names that stand for them: who answers there may have another one. TLS proves
+// names, so that seeds need plain links.
+func (messenger *Messenger) SetSeeds(seeds []definer.Host) {
+	messenger.change(func(settings *settings) { settings.seeds = seeds })
+	messenger.SetPeers(nil)
+}
+
+// isSeed reports whether name stands for a host whose own is not known.
+func (settings *settings) isSeed(name string) bool {
+	return settings.credentials == nil && slices.ContainsFunc(settings.seeds, func(seed definer.Host) bool { return seed.Name() == name })
+}
+
 // Run listens on the host's peer address and keeps links until ctx is done.
 // Then it lets the calls in progress end, within a bound, and closes all links.
 func (messenger *Messenger) Run(ctx context.Context) error {
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -176,28 +176,61 @@
 	tracker := puller.tracker
 	var last string
 	var proof uint64
+	tracker.begin(time.Now())
 	for ctx.Err() == nil {
-		_, above := tracker.place(time.Now())
-		if above.Name() == "" {
+		name := tracker.above(time.Now())
+		if name == "" {
 			puller.rest(ctx)
 			continue
 		}
-		if above.Name() != last {
-			last, proof = above.Name(), 0
+		if name != last {
+			last, proof = name, 0
 			tracker.journal.Learned("asks a peer", "peer", last)
 		}
-		proof = puller.pull(ctx, above.Name(), proof)
+		proof = puller.pull(ctx, name, proof)
 	}
 	return nil
 }
 
+func (tracker *Tracker) begin(now time.Time) {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	tracker.started = now
+}
+
+// seedShare is the part of the bound for which a host that has just started
+// waits for the store before it asks a seed.
+const seedShare = 0.1
+
+// above returns the peer to ask now, or none.
+func (tracker *Tracker) above(now time.Time) string {
+	if _, above := tracker.place(now); above.Name() != "" {
+		return above.Name()
+	}
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	if !tracker.proved.IsZero() || !tracker.begun.IsZero() || now.Sub(tracker.started) < tracker.pace.share(seedShare) {
+		return ""
+	}
+	for _, name := range tracker.seeds {
+		if !now.Before(tracker.out[name]) {
+			return name
+		}
+	}
+	return ""
+}
+
 // rest waits for the next proof of a host that asks nobody.
 func (puller *Puller) rest(ctx context.Context) {
 	tracker := puller.tracker
 	tracker.mu.Lock()
 	renewed := tracker.renewed
+	wait := tracker.pace.hold()
+	if tracker.begun.IsZero() {
+		wait = tracker.pace.share(seedShare)
+	}
 	tracker.mu.Unlock()
-	timer := time.NewTimer(tracker.pace.hold())
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-renewed:
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -102,6 +102,10 @@
 	// peer has proved since then that it can be read.
 	blind  bool
 	failed time.Time
+	// seeds are asked by a host that knows no other and can't read the store, from
+	// started on.
+	seeds   []string
+	started time.Time
 	// out holds until when peers are passed over that did not answer.
 	out map[string]time.Time
 }
@@ -116,6 +120,10 @@
 	}
 }
 
+// SetSeeds names peers to ask where nothing is known yet and the store can't be
+// read; before the tasks run.
+func (tracker *Tracker) SetSeeds(names []string) { tracker.seeds = names }
+
 // View returns what the host believes now.
 func (tracker *Tracker) View() *View {
 	if view := tracker.current.Load(); view != nil {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // TestChangeAfterOutage has the store out for long enough that every host has
@@ -66,6 +68,31 @@
 	}
 }
 
+// TestStartInOutage starts a host while the store is out: it must learn the
+// routing from a seed, though the first one is down (incident inc-b447).
+func TestStartInOutage(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, fleet *fleet) {
+		fleet.store.set(func(store *fakeStore) { store.down = true })
+		time.Sleep(time.Second)
+		late := definer.NewHost("late", "late", "late", definer.NewPlace("region-0", "centre-0-0"), 1)
+		tracker := New(late, &seat{fleet.store, "late"}, &link{fleet, "late"}, textDecoder{},
+			NewKeys("table", "endpoints/", "hosts/"), fleetBound, quiet{})
+		tracker.SetSeeds([]string{"gone", "host-1-0-1"})
+		fleet.start("late", tracker)
+		time.Sleep(2 * fleetBound)
+		if version := tracker.View().Table().Version(); version != 1 {
+			t.Errorf("the host goes by version %d, want 1", version)
+		}
+		fleet.store.set(func(store *fakeStore) { store.down = false })
+		time.Sleep(2 * fleetBound)
+		fleet.store.write("table", "2")
+		time.Sleep(fleetBound)
+		if behind := fleet.behind(2); len(behind) > 0 {
+			t.Errorf("version 2 is not known to %v", behind)
+		}
+	})
+}
+
 // TestCircleProvesNothing has two hosts that only reach each other.
 func TestCircleProvesNothing(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, fleet *fleet) {
--- a/internal/tracker/world_test.go
+++ b/internal/tracker/world_test.go
@@ -236,17 +236,25 @@
 		}
 	}
 	for name, tracker := range fleet.trackers {
-		ctx, cancel := context.WithCancel(context.Background())
-		fleet.cancels[name] = cancel
-		for _, task := range []interface{ Run(context.Context) error }{tracker.Poller(), tracker.Puller()} {
-			fleet.wait.Add(1)
-			runner := &taskRunner{fleet: fleet, task: task, ctx: ctx}
-			go runner.run()
-		}
+		fleet.start(name, tracker)
 	}
 	return fleet
 }
 
+// start runs the tasks of a tracker.
+func (fleet *fleet) start(name string, tracker *Tracker) {
+	fleet.mu.Lock()
+	fleet.trackers[name] = tracker
+	ctx, cancel := context.WithCancel(context.Background())
+	fleet.cancels[name] = cancel
+	fleet.mu.Unlock()
+	for _, task := range []interface{ Run(context.Context) error }{tracker.Poller(), tracker.Puller()} {
+		fleet.wait.Add(1)
+		runner := &taskRunner{fleet: fleet, task: task, ctx: ctx}
+		go runner.run()
+	}
+}
+
 type taskRunner struct {
 	fleet *fleet
 	task  interface{ Run(context.Context) error }
