--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -122,10 +122,10 @@
 // host whose peers may have one gives them time. The caller holds mu.
 func (tracker *Tracker) due(at depth) time.Time {
 	switch {
-	case tracker.begun.IsZero():
-		return time.Time{}
 	case !tracker.proved.IsZero():
 		return tracker.proved.Add(tracker.pace.patience(at))
+	case tracker.begun.IsZero():
+		return time.Time{}
 	case at == depthFleet:
 		return tracker.looked.Add(aloneInterval)
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -84,12 +84,21 @@
 			t.Errorf("the host goes by version %d, want 1", version)
 		}
 		fleet.store.set(func(store *fakeStore) { store.down = false })
+		fleet.store.write("hosts/late", "late region-0 centre-0-0")
 		time.Sleep(2 * fleetBound)
 		fleet.store.write("table", "2")
 		time.Sleep(fleetBound)
 		if behind := fleet.behind(2); len(behind) > 0 {
 			t.Errorf("version 2 is not known to %v", behind)
 		}
+		// A reading each quarter of the bound is enough for the fleet.
+		fleet.store.set(func(store *fakeStore) { store.calls = 0 })
+		time.Sleep(2 * fleetBound)
+		fleet.store.set(func(store *fakeStore) {
+			if store.calls > 10 {
+				t.Errorf("%d calls to the store in %v with nothing to tell", store.calls, 2*fleetBound)
+			}
+		})
 	})
 }
 
