placer: endpoints that were out of reach are asked where no other answers

Ruled out: waiting for the crashed ones; the refusal would come late. Conclusion: an endpoint that may be out of reach is better than none.

--- a/internal/placer/rings.go
+++ b/internal/placer/rings.go
@@ -49,8 +49,13 @@
 	if far := tiers[tierFar]; len(far) > 0 {
 		rings = append(rings, Ring{endpoints: far[:min(ringSize, len(far))], far: true})
 	}
-	if rest := tiers[tierCount]; len(rings) == 0 && len(rest) > 0 {
-		rings = append(rings, Ring{endpoints: rest[:min(ringSize, len(rest))]})
+	rest := tiers[tierCount]
+	if len(rings) > 0 {
+		// What was tried already is tried again only where there is nothing else.
+		rest = slices.DeleteFunc(rest, func(endpoint definer.Endpoint) bool { return slices.Contains(want.avoid, endpoint.Name()) })
+	}
+	if len(rest) > 0 {
+		rings = append(rings, Ring{endpoints: rest[:min(ringSize, len(rest))], last: true})
 	}
 	return rings
 }
@@ -60,6 +65,8 @@
 	endpoints []definer.Endpoint
 	// far is true where they stand in other regions.
 	far bool
+	// last is true where they were out of reach lately or tried already.
+	last bool
 	// again is true where others at this distance were asked before.
 	again bool
 }
@@ -70,10 +77,13 @@
 // Needed reports whether the ring is to be asked, given the choice among those
 // before. More of the same distance are asked unless one has room and works at
 // its usual pace: a question costs little there, and less than a slow run.
-// Another region is asked only where the own one can't serve in time: the way
+// Endpoints that were out of reach are asked where no other answers. Another
+// region is asked only where the own one can't serve in time: the way
 // costs, and what comes back over it is old.
 func (ring Ring) Needed(choice Choice) bool {
 	switch {
+	case ring.last:
+		return !choice.found
 	case ring.far:
 		return !choice.found || choice.run > choice.inTime || choice.run > choice.left
 	case ring.again:
