soaker: a fault soak of real gateways with checks from what callers and endpoints see

The plan of a seed is drawn by a pure function; 31 kinds of events overlap and come in series. Gateways are processes; store, endpoints, callers and proxies are the soak's.

--- /dev/null
+++ b/cmd/chivessoak/main.go
@@ -0,0 +1,111 @@
+// Command chivessoak breaks fleets of real gateways on loopback by random
+// plans, and checks what callers and endpoints see.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chivespool/chivespool/internal/soaker"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	command := &cli.Command{
+		Name:  "chivessoak",
+		Usage: "break fleets of gateways by random plans and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "seeds", Value: "1", Usage: "seeds to play, as 7 or 1-50, with commas between"},
+			&cli.IntFlag{Name: "jobs", Value: 2, Usage: "fleets at once"},
+			&cli.IntFlag{Name: "gateways", Value: 5, Usage: "gateways of a fleet"},
+			&cli.IntFlag{Name: "callers", Value: 20, Usage: "callers of a fleet"},
+			&cli.DurationFlag{Name: "trouble", Value: 12 * time.Second, Usage: "how long events go on"},
+			&cli.StringFlag{Name: "kinds", Usage: "kinds of events to draw, with commas between; all where it is left out"},
+			&cli.StringFlag{Name: "daemon", Value: "bin/chivespoold", Usage: "program of a gateway"},
+			&cli.StringFlag{Name: "out", Value: "out/soak", Usage: "folder for settings, logs and reports"},
+		},
+		Action: run,
+	}
+	if err := command.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "chivessoak:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, command *cli.Command) error {
+	seeds, err := parseSeeds(command.String("seeds"))
+	if err != nil {
+		return err
+	}
+	options := soaker.NewOptions(command.String("daemon"), command.String("out"),
+		command.Int("gateways"), command.Int("callers"), command.Duration("trouble"))
+	if text := command.String("kinds"); text != "" {
+		kinds, err := parseKinds(text)
+		if err != nil {
+			return err
+		}
+		options = options.WithKinds(kinds)
+	}
+	pool := soaker.NewPool(options, seeds, command.Int("jobs"))
+	bad := 0
+	for result := range pool.Run(ctx) {
+		if result.Err() != nil {
+			return result.Err()
+		}
+		fmt.Println(result.Report().Summary())
+		for _, violation := range result.Report().Violations() {
+			fmt.Println("  " + violation.String())
+		}
+		if len(result.Report().Violations()) > 0 {
+			bad++
+		}
+	}
+	fmt.Printf("%d of %d seeds with a violation\n", bad, len(seeds))
+	if bad > 0 {
+		return errors.New("promises did not hold; play a seed again with --seeds, and read its folder")
+	}
+	return ctx.Err()
+}
+
+// parseKinds reads kinds of events.
+func parseKinds(text string) ([]soaker.Kind, error) {
+	var kinds []soaker.Kind
+	for part := range strings.SplitSeq(text, ",") {
+		if !slices.Contains(soaker.Kinds(), soaker.Kind(part)) {
+			return nil, fmt.Errorf("--kinds %q: choose from %v", part, soaker.Kinds())
+		}
+		kinds = append(kinds, soaker.Kind(part))
+	}
+	return kinds, nil
+}
+
+// parseSeeds reads numbers and ranges of numbers.
+func parseSeeds(text string) ([]uint64, error) {
+	var seeds []uint64
+	for part := range strings.SplitSeq(text, ",") {
+		first, last, ranged := strings.Cut(part, "-")
+		if !ranged {
+			last = first
+		}
+		from, err := strconv.ParseUint(first, 10, 32)
+		to, lastErr := strconv.ParseUint(last, 10, 32)
+		if err != nil || lastErr != nil || to < from {
+			return nil, fmt.Errorf("--seeds %q: write numbers such as 7 or 1-50", part)
+		}
+		for seed := from; seed <= to; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds, nil
+}
--- /dev/null
+++ b/internal/soaker/caller.go
@@ -0,0 +1,188 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/chivespool/chivespool/platform"
+)
+
+const (
+	// thinkTime is the mean pause of a caller between two requests.
+	thinkTime = 60 * time.Millisecond
+	// patience is how long beyond a request's deadline a caller waits.
+	patience = 4 * time.Second
+	// askTime bounds a question for addresses, and connectTime a connection.
+	askTime     = time.Second
+	connectTime = time.Second
+	// listTime is how long a caller keeps a list of addresses: three times what
+	// it is told.
+	listTime = 3 * time.Second
+)
+
+// caller is a client that asks where to connect, and uses a connection as long
+// as it is open and its address is listed.
+type caller struct {
+	index  int
+	soaker *Soaker
+	random *rand.Rand
+	count  int
+	listed []string
+	// asked is when listed was got.
+	asked   time.Time
+	gateway *gateway
+	life    int
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+func newCaller(index int, soaker *Soaker) *caller {
+	return &caller{index: index, soaker: soaker, random: rand.New(rand.NewPCG(soaker.seed, uint64(index)+1))}
+}
+
+func (caller *caller) work(ctx context.Context) {
+	defer caller.hangUp()
+	for rest(ctx, time.Duration(caller.random.ExpFloat64()*float64(thinkTime))) == nil {
+		if time.Since(caller.asked) > listTime {
+			caller.look(ctx)
+		}
+		if caller.conn != nil || caller.connect() {
+			caller.ask()
+		}
+	}
+}
+
+func (caller *caller) hangUp() {
+	if caller.conn != nil {
+		_ = caller.conn.Close()
+	}
+	caller.conn = nil
+}
+
+// look asks a gateway where to connect.
+func (caller *caller) look(ctx context.Context) {
+	gateways := caller.soaker.gateways
+	gateway := gateways[caller.random.IntN(len(gateways))]
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway.directory+platform.ResolvePath, nil)
+	if err != nil {
+		return
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return // The next gateway asked may answer.
+	}
+	defer response.Body.Close()
+	var answer struct{ Addresses []string }
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Addresses) == 0 {
+		return
+	}
+	caller.listed, caller.asked = answer.Addresses, time.Now()
+	if caller.conn != nil && !contains(caller.listed, caller.gateway.front) {
+		caller.hangUp()
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, text := range list {
+		if text == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// connect opens a connection to a listed gateway.
+func (caller *caller) connect() bool {
+	if len(caller.listed) == 0 {
+		return false
+	}
+	address := caller.listed[caller.random.IntN(len(caller.listed))]
+	for _, gateway := range caller.soaker.gateways {
+		if gateway.front == address {
+			caller.gateway = gateway
+		}
+	}
+	caller.life = caller.soaker.journal.life(caller.gateway.name)
+	conn, err := net.DialTimeout("tcp", address, connectTime)
+	if err != nil {
+		return false
+	}
+	caller.conn, caller.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+// ask sends one request and reads its answer.
+func (caller *caller) ask() {
+	caller.count++
+	request := caller.next()
+	wire, err := platform.NewErrandRequest(request.id, request.method, hostName, request.target, []byte(request.body), requestTime)
+	if err != nil {
+		caller.soaker.journal.violated("soak", err.Error())
+		return
+	}
+	_ = caller.conn.SetDeadline(time.Now().Add(requestTime + patience))
+	if err := wire.Write(caller.conn); err == nil {
+		request.sent = time.Now()
+		caller.read(wire, &request)
+	} else {
+		caller.hangUp()
+	}
+	request.ended = time.Now()
+	caller.soaker.journal.asked(request)
+}
+
+// next makes a request of one of the routes.
+func (caller *caller) next() request {
+	request := request{
+		id: fmt.Sprintf("%d-%d-%d", caller.soaker.seed, caller.index, caller.count), method: http.MethodGet,
+		repeatable: true, gateway: caller.gateway.name, life: caller.life,
+	}
+	switch draw := caller.random.IntN(10); {
+	case draw < 5:
+		request.target = manyPrefix + request.id + "?page=2"
+	case draw < 8:
+		request.target, request.method, request.repeatable = oncePrefix+request.id, http.MethodPost, false
+		request.body = strings.Repeat(request.id+" ", caller.random.IntN(100))
+	default:
+		request.target = movedPrefix + request.id
+	}
+	return request
+}
+
+// read reads the answer and keeps the connection where it may be used again.
+func (caller *caller) read(wire *http.Request, request *request) {
+	response, err := http.ReadResponse(caller.reader, wire)
+	if err != nil {
+		request.abandoned = isTimeout(err)
+		caller.hangUp()
+		return
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err != nil {
+		request.part, request.abandoned = true, isTimeout(err)
+		caller.hangUp()
+		return
+	}
+	request.status, request.answer = response.StatusCode, string(body)
+	request.signer, request.signed, _ = platform.Signature(response.Header)
+	if response.Close {
+		caller.hangUp()
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/soaker/plan.go
@@ -0,0 +1,120 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind is a kind of fault or of planned work.
+type Kind string
+
+// The kinds.
+const (
+	StopGateway   Kind = "stop-gateway"
+	KillGateway   Kind = "kill-gateway"
+	PauseGateway  Kind = "pause-gateway"
+	HangUp        Kind = "hang-up"
+	KillAll       Kind = "kill-all"
+	StopInTurn    Kind = "stop-in-turn"
+	StoreOutage   Kind = "store-outage"
+	StoreSlow     Kind = "store-slow"
+	StoreForgets  Kind = "store-forgets"
+	StoreLoses    Kind = "store-loses-answers"
+	DoorRefuses   Kind = "door-refuses"
+	DoorThrottles Kind = "door-throttles"
+	DoorSilent    Kind = "door-silent"
+	WatchesCut    Kind = "watches-cut"
+	PathDelayed   Kind = "store-path-delayed"
+	PathReset     Kind = "store-path-reset"
+	PathOneWay    Kind = "store-path-one-way"
+	PathSilent    Kind = "store-path-silent"
+	SiteDelayed   Kind = "endpoint-delayed"
+	SiteReset     Kind = "endpoint-reset"
+	SiteOneWay    Kind = "endpoint-one-way"
+	SiteSilent    Kind = "endpoint-silent"
+	SiteCrash     Kind = "endpoint-crash"
+	SiteReplaced  Kind = "endpoint-replaced"
+	SiteDrains    Kind = "endpoint-drains"
+	SiteCuts      Kind = "endpoint-cuts-answers"
+	SiteFails     Kind = "endpoint-fails"
+	SiteFull      Kind = "endpoint-full"
+	Publish       Kind = "publish"
+	PublishStorm  Kind = "publish-storm"
+	ForeignEntry  Kind = "foreign-entry"
+)
+
+var kinds = []Kind{
+	StopGateway, KillGateway, PauseGateway, HangUp, KillAll, StopInTurn,
+	StoreOutage, StoreSlow, StoreForgets, StoreLoses, DoorRefuses, DoorThrottles, DoorSilent, WatchesCut,
+	PathDelayed, PathReset, PathOneWay, PathSilent,
+	SiteDelayed, SiteReset, SiteOneWay, SiteSilent, SiteCrash, SiteReplaced, SiteDrains, SiteCuts, SiteFails, SiteFull,
+	Publish, PublishStorm, ForeignEntry,
+}
+
+// Event is a fault or planned work that begins and ends.
+type Event struct {
+	kind     Kind
+	at       time.Duration
+	duration time.Duration
+	// target numbers a gateway or a site, by the kind.
+	target int
+}
+
+// String returns the event in one line.
+func (event Event) String() string {
+	return fmt.Sprintf("%6.2f s %s %d for %.2f s", event.at.Seconds(), event.kind, event.target, event.duration.Seconds())
+}
+
+// Plan is the events of one soak in the order of their start.
+type Plan []Event
+
+// String returns one line for each event.
+func (plan Plan) String() string {
+	var text strings.Builder
+	for _, event := range plan {
+		fmt.Fprintln(&text, event)
+	}
+	return text.String()
+}
+
+const (
+	// meanGap is the mean time between two events: events last longer, so that
+	// they overlap.
+	meanGap = 700 * time.Millisecond
+	// shortest and longest bound how long an event lasts.
+	shortest = 100 * time.Millisecond
+	longest  = 3 * time.Second
+	// seriesChance is how likely an event comes again at once, and seriesGap the
+	// time between the events of a series.
+	seriesChance = 0.3
+	seriesGap    = 250 * time.Millisecond
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return slices.Clone(kinds) }
+
+// Draw returns the plan that a seed draws from kinds. All events have ended
+// after length.
+func Draw(seed uint64, kinds []Kind, gateways, sites int, length time.Duration) Plan {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var plan Plan
+	for at := time.Duration(0); at < length-shortest; at += time.Duration(random.ExpFloat64() * float64(meanGap)) {
+		event := Event{kind: kinds[random.IntN(len(kinds))], at: at, target: random.IntN(gateways * sites)}
+		event.duration = shortest + time.Duration(random.Float64()*random.Float64()*float64(longest-shortest))
+		event.duration = min(event.duration, length-event.at)
+		plan = append(plan, event)
+		for random.Float64() < seriesChance {
+			event.at += seriesGap
+			if event.at >= length-shortest {
+				break
+			}
+			event.duration = min(event.duration, length-event.at)
+			plan = append(plan, event)
+		}
+	}
+	slices.SortStableFunc(plan, func(left, right Event) int { return int(left.at - right.at) })
+	return plan
+}
--- /dev/null
+++ b/internal/soaker/soaker.go
@@ -0,0 +1,220 @@
+// Package soaker breaks a fleet of real gateways on loopback by a plan that a
+// seed draws, and checks what callers and endpoints saw of it. The gateways are
+// processes of their own; the store, the endpoints, the callers and the proxies
+// between them are this process's.
+//
+// The tree: proxies, then the fleet (one task for each gateway), callers, and
+// the director, which plays the plan. Checks run once all have stopped.
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/emulator"
+	"github.com/chivespool/chivespool/platform"
+)
+
+// The bounds that are checked, from the users' deployments.
+const (
+	applyBound    = 2 * time.Second
+	drainBound    = 2 * time.Second
+	graceBound    = 6 * time.Second
+	stableWindow  = 3 * time.Second
+	recoveryBound = 15 * time.Second
+	rollbackSlack = 250 * time.Millisecond
+	lossSlack     = 200 * time.Millisecond
+	budgetWindow  = 10 * time.Second
+	budgetRatio   = 0.2
+	budgetSlack   = 56
+	// slowedFactor is how many times longer a slowed host may show an old version.
+	slowedFactor = 8
+	// servedShare is the part of requests that must be served once recovered.
+	servedShare = 0.25
+)
+
+// settleTime is from the start of the gateways to the first request, and
+// judgedTime the time after recovery in which service is judged.
+const (
+	settleTime = 3 * time.Second
+	judgedTime = 2 * time.Second
+)
+
+// Options say what to soak.
+type Options struct {
+	daemon, output string
+	gateways       int
+	callers        int
+	trouble        time.Duration
+	// kinds are those that are drawn.
+	kinds []Kind
+}
+
+// NewOptions returns options for a fleet of gateways that run the program
+// daemon, under load of callers, with faults for the time trouble. Logs and
+// settings go to a folder of each seed under output.
+func NewOptions(daemon, output string, gateways, callers int, trouble time.Duration) Options {
+	return Options{daemon: daemon, output: output, gateways: gateways, callers: callers, trouble: trouble, kinds: Kinds()}
+}
+
+// WithKinds returns a copy that draws only some kinds.
+func (options Options) WithKinds(kinds []Kind) Options {
+	options.kinds = kinds
+	return options
+}
+
+// Soaker soaks one fleet by one seed. Make one with New.
+type Soaker struct {
+	options Options
+	seed    uint64
+	folder  string
+	journal *journal
+
+	keyspace *emulator.Keyspace
+	operator *platform.Operator
+	// mu guards moved and targets.
+	mu sync.Mutex
+	// moved is the version of the routing that is published.
+	moved uint64
+	// targets are the endpoints that the versions move to.
+	targets  []*servant
+	sites    []*site
+	gateways []*gateway
+	callers  []*caller
+}
+
+// New returns a soaker of seed.
+func New(options Options, seed uint64) *Soaker {
+	return &Soaker{
+		options:  options,
+		seed:     seed,
+		folder:   filepath.Join(options.output, fmt.Sprintf("seed-%d", seed)),
+		journal:  &journal{},
+		keyspace: &emulator.Keyspace{},
+	}
+}
+
+// Run soaks once and returns what was seen. It fails where the soak itself
+// could not be played.
+func (soaker *Soaker) Run(ctx context.Context) (*Report, error) {
+	if err := os.MkdirAll(soaker.folder, 0o755); err != nil {
+		return nil, fmt.Errorf("choose another folder for the output: %w", err)
+	}
+	plan := Draw(soaker.seed, soaker.options.kinds, soaker.options.gateways, siteCount, soaker.options.trouble)
+	if err := soaker.build(); err != nil {
+		return nil, err
+	}
+	defer soaker.close()
+	if err := soaker.play(ctx, plan); err != nil {
+		return nil, err
+	}
+	report := check(soaker.journal)
+	report.seed, report.plan, report.folder = soaker.seed, plan, soaker.folder
+	return report, os.WriteFile(filepath.Join(soaker.folder, "report.txt"), []byte(report.String()), 0o644)
+}
+
+// build makes the world; the gateways don't run yet.
+func (soaker *Soaker) build() error {
+	soaker.operator = platform.NewOperator(soaker.keyspace)
+	for index := range siteCount {
+		site, err := newSite(index, soaker.journal, soaker.operator)
+		if err != nil {
+			return err
+		}
+		soaker.sites = append(soaker.sites, site)
+		if err := site.start(); err != nil {
+			return err
+		}
+	}
+	if err := soaker.publish(); err != nil {
+		return err
+	}
+	for index := range soaker.options.gateways {
+		gateway, err := newGateway(index, soaker)
+		if err != nil {
+			return err
+		}
+		soaker.gateways = append(soaker.gateways, gateway)
+	}
+	for index := range soaker.options.callers {
+		soaker.callers = append(soaker.callers, newCaller(index, soaker))
+	}
+	return nil
+}
+
+// publish starts the endpoint that the next version of the routing moves to, and
+// writes that version.
+func (soaker *Soaker) publish() error {
+	soaker.mu.Lock()
+	defer soaker.mu.Unlock()
+	soaker.moved++
+	service := movedServiceOf(soaker.moved)
+	servant, err := newServant(service, service, soaker.journal)
+	if err != nil {
+		return err
+	}
+	soaker.targets = append(soaker.targets, servant)
+	if err := soaker.operator.Register(servant.endpoint(servant.address())); err != nil {
+		return err
+	}
+	err = soaker.operator.Publish(soaker.moved, hostName, routesOf(soaker.moved), platform.ServantPath, callerLimits)
+	soaker.journal.published(soaker.moved)
+	return err
+}
+
+// play runs the fleet and the callers while the director plays the plan. All
+// that it started has ended when it returns.
+func (soaker *Soaker) play(ctx context.Context, plan Plan) error {
+	var fleet crew
+	defer fleet.wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fleet.add(ctx, &watcher{journal: soaker.journal})
+	for _, gateway := range soaker.gateways {
+		if err := gateway.start(); err != nil {
+			return err
+		}
+		fleet.add(ctx, gateway)
+	}
+	if err := rest(ctx, settleTime); err != nil {
+		return err
+	}
+	var clients crew
+	defer clients.wait()
+	calling, quit := context.WithCancel(ctx)
+	defer quit()
+	for _, caller := range soaker.callers {
+		clients.add(calling, caller)
+	}
+	director := &director{soaker: soaker, plan: plan}
+	return director.play(ctx)
+}
+
+// close frees what the soak holds. It waits.
+func (soaker *Soaker) close() {
+	for _, gateway := range soaker.gateways {
+		gateway.close()
+	}
+	for _, site := range soaker.sites {
+		site.close()
+	}
+	for _, servant := range soaker.targets {
+		servant.close()
+	}
+}
+
+// rest waits for duration, or fails with the end of ctx.
+func rest(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/scripts/soak-broken.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Shows that each check of the soak can fail: it soaks daemons that are broken
+# on purpose, built from a scratch copy of the tree, and wants the promise that
+# each of them breaks among the violations.
+#
+#   scripts/soak-broken.sh            all
+#   scripts/soak-broken.sh ran-once   some
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+status=0
+wanted=${*:-all}
+go build -o "$scratch/chivessoak" ./cmd/chivessoak
+
+# breaks builds a daemon in which, for each file, old and new text after the
+# first three words, the new text stands in place of the old, soaks it with the
+# seeds $2 and the kinds of events $3, and wants violations of the promise $1.
+breaks() {
+  local promise=$1 seeds=$2 kinds=$3 count
+  shift 3
+  if [[ $wanted != all && " $wanted " != *" $promise "* ]]; then return; fi
+  rm -rf "$scratch/tree"
+  mkdir -p "$scratch/tree"
+  cp -r go.mod go.sum cmd internal pkg platform "$scratch/tree"
+  while [ $# -gt 0 ]; do
+    grep -qF -- "$2" "$scratch/tree/$1" || { echo "$1 has no '$2'; adapt scripts/soak-broken.sh" >&2; exit 2; }
+    OLD=$2 NEW=$3 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/' "$scratch/tree/$1"
+    shift 3
+  done
+  (cd "$scratch/tree" && go build -o "$scratch/daemon" ./cmd/chivespoold)
+  "$scratch/chivessoak" --daemon "$scratch/daemon" --out "$scratch/out" --seeds "$seeds" --kinds "$kinds" --jobs 4 --trouble 8s \
+    >"$scratch/$promise.txt" 2>&1 || true
+  count=$(grep -c "^  $promise: " "$scratch/$promise.txt" || true)
+  echo "broken on purpose: $promise not kept $count times"
+  if [ "$count" -eq 0 ]; then
+    cat "$scratch/$promise.txt"
+    status=1
+  fi
+}
+
+front=platform/front.go
+race=internal/dispatcher/race.go
+
+breaks ran-once 1-2 endpoint-cuts-answers,endpoint-reset internal/dispatcher/attempt.go 'return attempts.repeatable || attempts.ran == refuser.NotRun' 'return true'
+breaks not-run-is-true 1-2 endpoint-cuts-answers,endpoint-reset $front 'return http.StatusBadGateway' 'return http.StatusServiceUnavailable'
+breaks whole-answer 1 publish internal/acceptor/serve.go 'acceptor.boundWrites(c)' 'buffer[0] ^= 1'
+breaks unchanged 1 publish $front 'incoming.Method, target, incoming.Header' 'incoming.Method, target + "x", incoming.Header'
+breaks routed 1 publish internal/launcher/directory.go 'gateway.tracker.View().Endpoints(service)' 'gateway.tracker.View().Endpoints("many")'
+breaks served-route 1 publish internal/definer/route.go 'strings.HasPrefix(path, route.prefix)' 'strings.HasPrefix(path, "/many/")'
+breaks draining 1-2 endpoint-drains platform/decoder.go '*decoded.State == "draining")' 'false)'
+breaks routing-in-force 1-2 publish internal/tracker/tasks.go 'readShare = 0.25' 'readShare = 4'
+breaks routing-never-back 1-2 publish internal/launcher/directory.go 'return gateway.tracker.View().Table(), gateway.tracker.Current(time.Now())' \
+  'if first == nil && gateway.tracker.View().Table().Version() > 0 { first = gateway.tracker.View().Table() }
+	if first != nil && time.Now().Unix()%2 == 0 { return first, true }
+	return gateway.tracker.View().Table(), true' \
+  internal/launcher/directory.go '// Table returns' 'var first *definer.RouteTable
+
+// Table returns'
+breaks attempts 1-2 endpoint-fails internal/dispatcher/attempt.go 'attempts.made < attempts.most' 'true' \
+  $race 'failure.sent && !dispatcher.budget.spend(call.service)' 'false' $race '|| !dispatcher.budget.spend(call.service)' '' \
+  $race 'race.best.status < http.StatusInternalServerError' 'call.attempts.made > 6'
+breaks budget 1 endpoint-fails $race 'race.best.status < http.StatusInternalServerError' 'call.attempts.made > 1' \
+  $race '|| !dispatcher.budget.spend(call.service)' ''
+breaks stop-cuts-nothing 1-2 stop-gateway internal/launcher/usher.go 'moveShare = 0.48' 'moveShare = 0' internal/launcher/usher.go 'endShare = 0.94' 'endShare = 0.0001'
+breaks recovers 1 publish internal/launcher/directory.go 'return gateway.tracker.View().Endpoints(service)' \
+  'if time.Since(time.Unix(0, int64(gateway.self.Incarnation()))) > 10*time.Second { return nil }
+	return gateway.tracker.View().Endpoints(service)'
+breaks ended-by-itself 1-2 hang-up internal/launcher/launcher.go 'signal.Notify(hangups, syscall.SIGHUP)' 'signal.Notify(hangups, syscall.SIGUSR1)'
+exit $status
