--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -146,7 +146,8 @@
 	if err != nil {
 		tracker.failed = time.Now()
 	}
-	if changed && err != nil {
+	if outage := tracker.pace.share(overdueOutShare); changed && err != nil && start.Sub(tracker.lost) > outage {
+		tracker.lost = start
 		// What was overdue may have been the store's fault: the first to read it
 		// again may be any peer, and most likely the one that reads most often.
 		clear(tracker.out)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -102,6 +102,9 @@
 	// peer has proved since then that it can be read.
 	blind  bool
 	failed time.Time
+	// lost is when the host last began to ask all peers again since its own
+	// reading had failed.
+	lost time.Time
 	// seeds are asked by a host that knows no other and can't read the store, from
 	// started on.
 	seeds   []string
