dispatcher: the routing's limit on headers holds

A header over the limit of the routing is answered 431; the settings' limit was the only one. Bodies were bounded already. TestCallerLimits.

--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -117,6 +117,9 @@
 	if !ok {
 		return Plan{}, refuser.New(refuser.KindNoRoute, refuser.NotRun, fmt.Sprintf("no route for %s", request.authority))
 	}
+	if most := table.Limits().HeaderBytes(); most > 0 && request.headerBytes() > most {
+		return Plan{}, refuser.New(refuser.KindHeaderTooLarge, refuser.NotRun, fmt.Sprintf("the header is over %d bytes", most))
+	}
 	if most := table.Limits().BodyBytes(); most > 0 && request.length > most {
 		return Plan{}, refuser.New(refuser.KindTooLarge, refuser.NotRun, fmt.Sprintf("the body is over %d bytes", most))
 	}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -126,6 +126,18 @@
 // Header returns the caller's header; users must not change it.
 func (request *Request) Header() http.Header { return request.header }
 
+// headerBytes returns about how many bytes the header took on the wire.
+func (request *Request) headerBytes() int {
+	const lineEnds = len(": \r\n")
+	size := len(request.method) + len(request.target) + len(" HTTP/1.1\r\n") + lineEnds + len("Host") + len(request.authority)
+	for name, values := range request.header {
+		for _, value := range values {
+			size += len(name) + len(value) + lineEnds
+		}
+	}
+	return size
+}
+
 // Length returns the body's length in bytes, or -1 where it is not known.
 func (request *Request) Length() int64 { return request.length }
 
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -48,6 +48,7 @@
 	KindNoConfiguration  Kind = "no-configuration"
 	KindNoRoute          Kind = "no-route"
 	KindTooLarge         Kind = "too-large"
+	KindHeaderTooLarge   Kind = "header-too-large"
 )
 
 // Refusal is the error that ends a request without an answer of the backend
@@ -125,6 +126,7 @@
 	KindClaimsFull:       "wait until recorded keys expire, or ask an operator to raise claims.most",
 	KindLeaving:          "ask where to go again and send the request there",
 	KindNoRoute:          "check the host and the path, or ask an operator for a route",
+	KindHeaderTooLarge:   "send fewer or shorter headers, or ask an operator to raise the limit",
 	KindTooLarge:         "send a smaller request, or ask an operator to raise the limit",
 	KindNoConfiguration:  "wait until the host has read the configuration, or ask another host",
 }
