--- a/internal/emulator/door.go
+++ b/internal/emulator/door.go
@@ -6,29 +6,50 @@
 	"time"
 )
 
-// DoorFaults are what is wrong between one caller and a store. The zero value
-// is none.
-type DoorFaults struct {
-	// Outage refuses every call with no effect; Throttle does so because of a
-	// rate that is used up.
-	Outage, Throttle bool
-	// Reset breaks the connection of each call before it has an effect.
-	Reset bool
-	// Silent never answers, and has no effect.
-	Silent bool
-	// Delay slows each call before it takes effect.
-	Delay time.Duration
-	// LoseAnswers is how many of the next calls take effect and are not
-	// answered; their connections stay open and silent.
-	LoseAnswers int
-	// Late is how long after its arrival such a call takes effect.
-	Late time.Duration
-	// CutWatches breaks the connections of watches that wait.
-	CutWatches bool
-	// Behind is by how many revisions cheap reads lag.
-	Behind uint64
-	// PageItems bounds the items of a page; 0 stands for the store's own bound.
-	PageItems int
+// doorFaults are what is wrong between one caller and a store. The zero value
+// is nothing.
+type doorFaults struct {
+	passage Passage
+	delay   time.Duration
+	// losses is how many of the next calls are Unanswered, and late how long after
+	// their arrival they take effect.
+	losses     int
+	late       time.Duration
+	cutWatches bool
+	behind     uint64
+	pageItems  int
+}
+
+// DoorFault sets one thing that is wrong.
+type DoorFault func(faults *doorFaults)
+
+// DoorPassage makes every call come to the same.
+func DoorPassage(passage Passage) DoorFault {
+	return func(faults *doorFaults) { faults.passage = passage }
+}
+
+// DoorDelay slows each call before it takes effect.
+func DoorDelay(delay time.Duration) DoorFault {
+	return func(faults *doorFaults) { faults.delay = delay }
+}
+
+// DoorLosses makes the next count calls Unanswered; they take effect late after
+// their arrival.
+func DoorLosses(count int, late time.Duration) DoorFault {
+	return func(faults *doorFaults) { faults.losses, faults.late = count, late }
+}
+
+// DoorCutWatches breaks the connections of watches that wait.
+func DoorCutWatches(faults *doorFaults) { faults.cutWatches = true }
+
+// DoorBehind makes cheap reads lag by a number of revisions.
+func DoorBehind(revisions uint64) DoorFault {
+	return func(faults *doorFaults) { faults.behind = revisions }
+}
+
+// DoorPageItems bounds the items of a page below the store's own bound.
+func DoorPageItems(most int) DoorFault {
+	return func(faults *doorFaults) { faults.pageItems = most }
 }
 
 // Passage is what a door makes of one call.
@@ -56,19 +77,19 @@
 }
 
 // Reads returns the reads that count in full.
-func (calls DoorCalls) Reads() int { return calls.reads }
+func (doorCalls DoorCalls) Reads() int { return doorCalls.reads }
 
 // CheapReads returns the reads that may be behind.
-func (calls DoorCalls) CheapReads() int { return calls.cheapReads }
+func (doorCalls DoorCalls) CheapReads() int { return doorCalls.cheapReads }
 
 // Writes returns the commits, and the leases granted and ended.
-func (calls DoorCalls) Writes() int { return calls.writes }
+func (doorCalls DoorCalls) Writes() int { return doorCalls.writes }
 
 // Renewals returns the renewals of leases.
-func (calls DoorCalls) Renewals() int { return calls.renewals }
+func (doorCalls DoorCalls) Renewals() int { return doorCalls.renewals }
 
 // Watches returns the watches.
-func (calls DoorCalls) Watches() int { return calls.watches }
+func (doorCalls DoorCalls) Watches() int { return doorCalls.watches }
 
 // CallSort is a sort of calls that is counted by itself.
 type CallSort int
@@ -87,25 +108,40 @@
 type Door struct {
 	// mu guards all fields below.
 	mu     sync.Mutex
-	faults DoorFaults
+	faults doorFaults
 	// switched is closed, and replaced, when the faults are set.
 	switched chan struct{}
 	calls    DoorCalls
 }
 
-// SetFaults replaces the faults and wakes the watches that wait.
-func (door *Door) SetFaults(faults DoorFaults) {
+// SetFaults replaces the faults, none for a sound door, and wakes the watches
+// that wait.
+func (door *Door) SetFaults(faults ...DoorFault) {
 	door.mu.Lock()
 	defer door.mu.Unlock()
-	door.faults = faults
+	door.faults = doorFaults{}
+	for _, fault := range faults {
+		fault(&door.faults)
+	}
 	if door.switched != nil {
 		close(door.switched)
 	}
 	door.switched = nil
 }
 
-// Faults returns the faults that are on.
-func (door *Door) Faults() DoorFaults {
+// Late returns how long after their arrival unanswered calls take effect.
+func (door *Door) Late() time.Duration { return door.current().late }
+
+// CutsWatches reports whether watches that wait are cut.
+func (door *Door) CutsWatches() bool { return door.current().cutWatches }
+
+// Behind returns by how many revisions cheap reads lag.
+func (door *Door) Behind() uint64 { return door.current().behind }
+
+// PageItems returns the bound on the items of a page, or 0 for the store's own.
+func (door *Door) PageItems() int { return door.current().pageItems }
+
+func (door *Door) current() doorFaults {
 	door.mu.Lock()
 	defer door.mu.Unlock()
 	return door.faults
@@ -133,25 +169,16 @@
 func (door *Door) Pass(ctx context.Context, sort CallSort) Passage {
 	door.mu.Lock()
 	door.count(sort)
-	delay := door.faults.Delay
+	delay := door.faults.delay
 	door.mu.Unlock()
 	pause(ctx, delay)
 	door.mu.Lock()
 	defer door.mu.Unlock()
-	switch {
-	case door.faults.Silent:
-		return Unheard
-	case door.faults.Reset:
-		return Broken
-	case door.faults.Outage:
-		return Refused
-	case door.faults.Throttle:
-		return Throttled
-	case door.faults.LoseAnswers > 0:
-		door.faults.LoseAnswers--
+	if door.faults.passage == Admitted && door.faults.losses > 0 {
+		door.faults.losses--
 		return Unanswered
 	}
-	return Admitted
+	return door.faults.passage
 }
 
 // count adds a call. The caller holds mu.
--- a/internal/soaker/director.go
+++ b/internal/soaker/director.go
@@ -132,19 +132,19 @@
 	doors := []*emulator.Door{scene.gateway().door}
 	switch event.kind {
 	case StoreOutage:
-		scene.atDoors(scene.allDoors(), emulator.DoorFaults{Outage: true}, everywhere)
+		scene.atDoors(scene.allDoors(), everywhere, emulator.DoorPassage(emulator.Refused))
 	case StoreSlow:
-		scene.atDoors(scene.allDoors(), emulator.DoorFaults{Delay: storeDelay}, everywhere)
+		scene.atDoors(scene.allDoors(), everywhere, emulator.DoorDelay(storeDelay))
 	case StoreLoses:
-		scene.atDoors(scene.allDoors(), emulator.DoorFaults{LoseAnswers: lostAnswers, Late: lateTime}, everywhere)
+		scene.atDoors(scene.allDoors(), everywhere, emulator.DoorLosses(lostAnswers, lateTime))
 	case DoorRefuses:
-		scene.atDoors(doors, emulator.DoorFaults{Outage: true}, scene.gateway().name)
+		scene.atDoors(doors, scene.gateway().name, emulator.DoorPassage(emulator.Refused))
 	case DoorThrottles:
-		scene.atDoors(doors, emulator.DoorFaults{Throttle: true}, scene.gateway().name)
+		scene.atDoors(doors, scene.gateway().name, emulator.DoorPassage(emulator.Throttled))
 	case DoorSilent:
-		scene.atDoors(doors, emulator.DoorFaults{Silent: true}, scene.gateway().name)
+		scene.atDoors(doors, scene.gateway().name, emulator.DoorPassage(emulator.Unheard))
 	case WatchesCut:
-		scene.atDoors(doors, emulator.DoorFaults{CutWatches: true, Reset: true}, scene.gateway().name)
+		scene.atDoors(doors, scene.gateway().name, emulator.DoorCutWatches, emulator.DoorPassage(emulator.Broken))
 	case PathDelayed:
 		scene.onPath(scene.gateway().path, path{delay: pathDelay}, scene.gateway().name)
 	case PathReset:
@@ -189,14 +189,14 @@
 }
 
 // atDoors switches faults on for the time of the event.
-func (scene *scene) atDoors(doors []*emulator.Door, faults emulator.DoorFaults, what string) {
+func (scene *scene) atDoors(doors []*emulator.Door, what string, faults ...emulator.DoorFault) {
 	start := time.Now()
 	for _, door := range doors {
-		door.SetFaults(faults)
+		door.SetFaults(faults...)
 	}
 	time.Sleep(scene.event.duration)
 	for _, door := range doors {
-		door.SetFaults(emulator.DoorFaults{})
+		door.SetFaults()
 	}
 	scene.director.soaker.journal.disturbed(what, start, time.Now(), false)
 }
