tracker: a seed is asked only once the store's reading has failed

Cause: a host asked a seed when it had had no copy for a tenth of the bound. Ruled out: a longer wait; how long a busy store takes has no bound. Change: only a host whose own reading failed asks, and hosts begin with other seeds. TestStartAsksNoSeed failed first.

--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // pace derives the times of a tracker from the bound within which a change must
@@ -177,7 +179,6 @@
 	tracker := puller.tracker
 	var last string
 	var proof uint64
-	tracker.begin(time.Now())
 	for ctx.Err() == nil {
 		name := tracker.above(time.Now())
 		if name == "" {
@@ -193,27 +194,21 @@
 	return nil
 }
 
-func (tracker *Tracker) begin(now time.Time) {
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	tracker.started = now
-}
-
-// seedShare is the part of the bound for which a host that has just started
-// waits for the store before it asks a seed.
-const seedShare = 0.1
-
-// above returns the peer to ask now, or none.
+// above returns the peer to ask now, or none. A host that has had no copy yet
+// asks a seed only once its own reading has failed: where the store answers, its
+// copies cost less than a seed's, which a whole fleet may ask at once.
 func (tracker *Tracker) above(now time.Time) string {
 	if _, above := tracker.place(now); above.Name() != "" {
 		return above.Name()
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	if !tracker.proved.IsZero() || !tracker.begun.IsZero() || now.Sub(tracker.started) < tracker.pace.share(seedShare) {
+	if !tracker.proved.IsZero() || !tracker.begun.IsZero() || !tracker.blind {
 		return ""
 	}
-	for _, name := range tracker.seeds {
+	for index := range tracker.seeds {
+		// Hosts that start together begin with other seeds.
+		name := tracker.seeds[(index+tracker.firstSeed())%len(tracker.seeds)]
 		if !now.Before(tracker.out[name]) {
 			return name
 		}
@@ -221,6 +216,15 @@
 	return ""
 }
 
+// firstSeed returns the index of the seed that the host begins with.
+func (tracker *Tracker) firstSeed() int {
+	return int(xxhash.Sum64String(tracker.self.Name()) % uint64(len(tracker.seeds)))
+}
+
+// firstShare is the part of the bound after which a host that knows nothing
+// looks again whether it may ask a seed.
+const firstShare = 0.05
+
 // rest waits for the next proof of a host that asks nobody.
 func (puller *Puller) rest(ctx context.Context) {
 	tracker := puller.tracker
@@ -228,7 +232,7 @@
 	renewed := tracker.renewed
 	wait := tracker.pace.hold()
 	if tracker.begun.IsZero() {
-		wait = tracker.pace.share(seedShare)
+		wait = tracker.pace.share(firstShare)
 	}
 	tracker.mu.Unlock()
 	timer := time.NewTimer(wait)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -105,10 +105,8 @@
 	// lost is when the host last began to ask all peers again since its own
 	// reading had failed.
 	lost time.Time
-	// seeds are asked by a host that knows no other and can't read the store, from
-	// started on.
-	seeds   []string
-	started time.Time
+	// seeds are asked by a host that knows no other and can't read the store.
+	seeds []string
 	// out holds until when peers are passed over that did not answer.
 	out map[string]time.Time
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -104,6 +104,28 @@
 	})
 }
 
+// TestStartAsksNoSeed starts a host whose store is slow but answers: it must not
+// take a copy from a seed. At 300 hosts that start together, the store's answers
+// took longer than hosts waited then, and all of them had a copy of 3,000
+// endpoints from one seed (sweep of hymnbrew-gw: twice the bytes).
+func TestStartAsksNoSeed(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, fleet *fleet) {
+		late := definer.NewHost("late", "late", "late", definer.NewPlace("region-0", "centre-0-0"), 1)
+		tracker := New(late, &slowSeat{seat{fleet.store, "late"}}, &link{fleet, "late"}, textDecoder{},
+			NewKeys("table", "endpoints/", "hosts/"), fleetBound, quiet{})
+		tracker.SetSeeds([]string{"host-1-0-1"})
+		fleet.start("late", tracker)
+		time.Sleep(slowScan - time.Millisecond)
+		if version := tracker.View().Table().Version(); version != 0 {
+			t.Errorf("the host has version %d from a seed before the store's answer", version)
+		}
+		time.Sleep(fleetBound)
+		if version := tracker.View().Table().Version(); version != 1 {
+			t.Errorf("the host goes by version %d, want 1", version)
+		}
+	})
+}
+
 // TestCircleProvesNothing has two hosts that only reach each other.
 func TestCircleProvesNothing(t *testing.T) {
 	inBubble(t, 1, func(t *testing.T, fleet *fleet) {
--- a/internal/tracker/world_test.go
+++ b/internal/tracker/world_test.go
@@ -116,6 +116,17 @@
 	return items, seat.revision, nil
 }
 
+// slowScan is how long a store that is busy takes for a whole reading.
+const slowScan = 800 * time.Millisecond
+
+// slowSeat is the store of a host whose whole readings are slow.
+type slowSeat struct{ seat }
+
+func (slowSeat *slowSeat) Scan(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error) {
+	time.Sleep(slowScan)
+	return slowSeat.seat.Scan(ctx, prefix, stale)
+}
+
 func (seat *seat) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
 	if err := seat.enter(ctx); err != nil {
 		return nil, 0, err
