tracker: a seed that knows nothing itself is passed over

Cause: a host that starts in an outage went on asking the first seed that answered, though that had just started as well. TestStartInOutage has such a seed now and failed first. Ruled out: asking all seeds at once, which costs each a whole copy.

--- a/internal/setter/table.go
+++ b/internal/setter/table.go
@@ -173,7 +173,7 @@
 	},
 	{
 		section: "peers", key: "seeds", allowed: "name=IP:port of other hosts' peer addresses, with commas between",
-		doc: "Hosts to learn the fleet from where the host list can't be read at the start.",
+		doc: "Hosts to learn the fleet from where the host list, or for a gateway the store, can't be read at the start. On plain links the names only stand for them.",
 		set: seeds(func(settings *Settings) *[]definer.Host { return &settings.peerSeeds }),
 	},
 	{
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -259,6 +259,10 @@
 		return 0
 	}
 	tracker.take(now, news)
+	if news.age >= never && tracker.revision() == 0 {
+		tracker.passOver(now, host, outShare) // A seed that knows nothing; another may.
+		return 0
+	}
 	if at, _ := tracker.place(now); at > depthFleet && news.age > tracker.pace.overdue(at-1) && news.age < never {
 		tracker.journal.Learned("peer's proof is overdue", "peer", host, "age", news.age, "revision", news.revision)
 		tracker.passOver(now, host, tracker.overdueOut())
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -69,7 +69,8 @@
 }
 
 // TestStartInOutage starts a host while the store is out: it must learn the
-// routing from a seed, though the first one is down (incident inc-b447).
+// routing from a seed, though one is down and one knows nothing itself (incident
+// inc-b447).
 func TestStartInOutage(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, fleet *fleet) {
 		fleet.store.set(func(store *fakeStore) { store.down = true })
@@ -77,7 +78,10 @@
 		late := definer.NewHost("late", "late", "late", definer.NewPlace("region-0", "centre-0-0"), 1)
 		tracker := New(late, &seat{fleet.store, "late"}, &link{fleet, "late"}, textDecoder{},
 			NewKeys("table", "endpoints/", "hosts/"), fleetBound, quiet{})
-		tracker.SetSeeds([]string{"gone", "host-1-0-1"})
+		tracker.SetSeeds([]string{"gone", "empty", "host-1-0-1"})
+		empty := definer.NewHost("empty", "empty", "empty", definer.NewPlace("region-0", "centre-0-0"), 1)
+		fleet.start("empty", New(empty, &seat{fleet.store, "empty"}, &link{fleet, "empty"}, textDecoder{},
+			NewKeys("table", "endpoints/", "hosts/"), fleetBound, quiet{}))
 		fleet.start("late", tracker)
 		time.Sleep(2 * fleetBound)
 		if version := tracker.View().Table().Version(); version != 1 {
@@ -85,6 +89,7 @@
 		}
 		fleet.store.set(func(store *fakeStore) { store.down = false })
 		fleet.store.write("hosts/late", "late region-0 centre-0-0")
+		fleet.store.write("hosts/empty", "empty region-0 centre-0-0")
 		time.Sleep(2 * fleetBound)
 		fleet.store.write("table", "2")
 		time.Sleep(fleetBound)
