--- /dev/null
+++ b/internal/messenger/seed_test.go
@@ -0,0 +1,33 @@
+package messenger
+
+import (
+	"testing"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// TestSeedAnswersUnderAnotherName asks a host whose name is not known, by one
+// that stands for it. Where that is not a seed's, the host is refused.
+func TestSeedAnswersUnderAnotherName(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		var network pipes
+		left, right := newStation(&network, "left", 1), newStation(&network, "right", 1)
+		left.start(t)
+		right.start(t)
+		standIn := definer.NewHost("seed-0", right.host.Address(), right.host.PeerAddress(), right.host.Place(), 0)
+		left.SetPeers([]definer.Host{standIn})
+		_, err := left.echo(t.Context(), "seed-0", "ledger", 0)
+		wantKind(t, err, Unreachable)
+		left.SetPeers(nil)
+		left.SetSeeds([]definer.Host{standIn})
+		if got, err := left.echo(t.Context(), "seed-0", "ledger", 0); got != "ledger" || err != nil {
+			t.Errorf("a seed answers %q, %v", got, err)
+		}
+		left.meet(right)
+		if got, err := left.echo(t.Context(), "right", "ledger", 0); got != "ledger" || err != nil {
+			t.Errorf("the same host under its own name answers %q, %v", got, err)
+		}
+		left.stop()
+		right.stop()
+	})
+}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -3,12 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -83,25 +83,16 @@
 		return // The next gateway asked may answer.
 	}
 	defer response.Body.Close()
-	var answer struct{ Addresses []string }
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Addresses) == 0 {
+	listed, err := platform.ReadAddresses(response.Body)
+	if err != nil || len(listed) == 0 {
 		return
 	}
-	caller.listed, caller.asked = answer.Addresses, time.Now()
-	if caller.conn != nil && !contains(caller.listed, caller.gateway.front) {
+	caller.listed, caller.asked = listed, time.Now()
+	if caller.conn != nil && !slices.Contains(listed, caller.gateway.front) {
 		caller.hangUp()
 	}
 }
 
-func contains(list []string, wanted string) bool {
-	for _, text := range list {
-		if text == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // connect opens a connection to a listed gateway.
 func (caller *caller) connect() bool {
 	if len(caller.listed) == 0 {
--- a/internal/soaker/gateway.go
+++ b/internal/soaker/gateway.go
@@ -32,12 +32,13 @@
 	folder  string
 	journal *journal
 	log     *os.File
-	// front and directory are where callers connect and ask.
-	front, directory string
-	door             *emulator.Door
-	store            *http.Server
-	storeListener    net.Listener
-	crew             crew
+	// front and directory are where callers connect and ask, peer is where other
+	// gateways do.
+	front, directory, ready, peer string
+	door                          *emulator.Door
+	store                         *http.Server
+	storeListener                 net.Listener
+	crew                          crew
 	// path is between the gateway and the store.
 	path *proxy
 
@@ -71,7 +72,7 @@
 	if gateway.log, err = os.Create(filepath.Join(gateway.folder, gateway.name+".log")); err != nil {
 		return nil, fmt.Errorf("choose another folder for the output: %w", err)
 	}
-	return gateway, gateway.writeSettings()
+	return gateway, gateway.takeAddresses()
 }
 
 // storeTask serves a gateway's way to the store.
@@ -82,7 +83,7 @@
 }
 
 // settingsText is the settings of a gateway: name, region, data centre, the
-// addresses, the store's, the bounds.
+// addresses, the store's, the bounds, the seeds.
 const settingsText = `[host]
 name = %s
 region = %s
@@ -109,24 +110,34 @@
 
 [peers]
 plain = yes
+seeds = %s
 `
 
 func (gateway *gateway) settingsFile() string {
 	return filepath.Join(gateway.folder, gateway.name+".ini")
 }
 
-func (gateway *gateway) writeSettings() error {
-	var addresses [4]string
-	for index := range addresses {
-		address, err := freeAddress()
+// takeAddresses finds addresses that are free.
+func (gateway *gateway) takeAddresses() error {
+	for _, address := range []*string{&gateway.front, &gateway.directory, &gateway.ready, &gateway.peer} {
+		free, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		addresses[index] = address
+		*address = free
 	}
-	gateway.front, gateway.directory = addresses[0], addresses[3]
-	text := fmt.Sprintf(settingsText, gateway.name, regionName, centreName, addresses[0], addresses[1],
-		gateway.path.address(), addresses[2], addresses[3], centreName, regionName, applyBound, budgetSlack, budgetRatio, graceBound)
+	return nil
+}
+
+// writeSettings writes the settings file; seeds are gateways to ask at a start.
+func (gateway *gateway) writeSettings(seeds []*gateway) error {
+	var names []string
+	for index, seed := range seeds {
+		names = append(names, fmt.Sprintf("seed-%d=%s", index, seed.peer))
+	}
+	text := fmt.Sprintf(settingsText, gateway.name, regionName, centreName, gateway.front, gateway.peer,
+		gateway.path.address(), gateway.ready, gateway.directory, centreName, regionName, applyBound, budgetSlack, budgetRatio,
+		graceBound, strings.Join(names, ", "))
 	return os.WriteFile(gateway.settingsFile(), []byte(text), 0o644)
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -37,6 +37,9 @@
 	servedShare = 0.25
 )
 
+// seedCount is how many gateways others may ask at a start, as on the platform.
+const seedCount = 3
+
 // settleTime is from the start of the gateways to the first request, and
 // judgedTime the time after recovery in which service is judged.
 const (
@@ -140,6 +143,12 @@
 		}
 		soaker.gateways = append(soaker.gateways, gateway)
 	}
+	seeds := soaker.gateways[:min(seedCount, len(soaker.gateways))]
+	for _, gateway := range soaker.gateways {
+		if err := gateway.writeSettings(seeds); err != nil {
+			return err
+		}
+	}
 	for index := range soaker.options.callers {
 		soaker.callers = append(soaker.callers, newCaller(index, soaker))
 	}
