--- a/cmd/chivespoold/main_test.go
+++ b/cmd/chivespoold/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os/signal"
 	"syscall"
 	"testing"
 )
@@ -12,6 +13,7 @@
 func TestSecondStop(t *testing.T) {
 	ctx, stop := notifyStop(context.Background())
 	defer stop()
+	defer signal.Ignore(syscall.SIGTERM) // The last signals may come after the end.
 	for range 500 {
 		if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
 			t.Fatal(err)
