--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -74,15 +74,20 @@
 	return c.JSON(status, refusal{Reason: reason})
 }
 
-// pause waits for duration or the end of the caller's interest.
-func pause(ctx context.Context, duration time.Duration) {
+// Pause waits for duration, or fails with the end of ctx.
+func Pause(ctx context.Context, duration time.Duration) error {
 	if duration <= 0 {
-		return
+		return ctx.Err()
 	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return nil
 	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
+
+// pause is Pause for those who look at ctx themselves.
+func pause(ctx context.Context, duration time.Duration) { _ = Pause(ctx, duration) }
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/chivespool/chivespool/internal/emulator"
 	"github.com/chivespool/chivespool/platform"
 )
 
@@ -26,6 +27,11 @@
 	// listTime is how long a caller keeps a list of addresses: three times what
 	// it is told.
 	listTime = 3 * time.Second
+	// manyShare and onceShare are the parts of the requests that may repeat and
+	// that may not; the rest goes to the route that moves.
+	manyShare, onceShare = 0.5, 0.3
+	// longestBody is the most words of a body.
+	longestBody = 100
 )
 
 // caller is a client that asks where to connect, and uses a connection as long
@@ -50,7 +56,7 @@
 
 func (caller *caller) work(ctx context.Context) {
 	defer caller.hangUp()
-	for rest(ctx, time.Duration(caller.random.ExpFloat64()*float64(thinkTime))) == nil {
+	for emulator.Pause(ctx, time.Duration(caller.random.ExpFloat64()*float64(thinkTime))) == nil {
 		if time.Since(caller.asked) > listTime {
 			caller.look(ctx)
 		}
@@ -139,12 +145,12 @@
 		id: fmt.Sprintf("%d-%d-%d", caller.soaker.seed, caller.index, caller.count), method: http.MethodGet,
 		repeatable: true, gateway: caller.gateway.name, life: caller.life,
 	}
-	switch draw := caller.random.IntN(10); {
-	case draw < 5:
+	switch draw := caller.random.Float64(); {
+	case draw < manyShare:
 		request.target = manyPrefix + request.id + "?page=2"
-	case draw < 8:
+	case draw < manyShare+onceShare:
 		request.target, request.method, request.repeatable = oncePrefix+request.id, http.MethodPost, false
-		request.body = strings.Repeat(request.id+" ", caller.random.IntN(100))
+		request.body = strings.Repeat(request.id+" ", caller.random.IntN(longestBody))
 	default:
 		request.target = movedPrefix + request.id
 	}
@@ -162,7 +168,7 @@
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	if err != nil {
-		request.part, request.abandoned = true, isTimeout(err)
+		request.abandoned = isTimeout(err)
 		caller.hangUp()
 		return
 	}
--- a/internal/soaker/crew.go
+++ b/internal/soaker/crew.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/emulator"
 )
 
 // worker is a task that works until its context is done.
@@ -53,7 +55,7 @@
 
 func (watcher *watcher) work(ctx context.Context) {
 	last := time.Now()
-	for rest(ctx, lookInterval) == nil {
+	for emulator.Pause(ctx, lookInterval) == nil {
 		now := time.Now()
 		if now.Sub(last) > stallTime {
 			watcher.journal.disturbed(everywhere, last, now, true)
--- a/internal/soaker/director.go
+++ b/internal/soaker/director.go
@@ -19,6 +19,8 @@
 	pathDelay  = 100 * time.Millisecond
 	// lostAnswers is how many answers in a row are lost.
 	lostAnswers = 3
+	// stormVersions is how many versions come in quick succession.
+	stormVersions = 5
 )
 
 // director plays a plan. Events overlap; each is a scene of its own.
@@ -37,14 +39,14 @@
 func (director *director) play(ctx context.Context) error {
 	start := time.Now()
 	for _, event := range director.plan {
-		if err := rest(ctx, time.Until(start.Add(event.at))); err != nil {
+		if err := emulator.Pause(ctx, time.Until(start.Add(event.at))); err != nil {
 			break
 		}
 		director.crew.add(ctx, &scene{director: director, event: event})
 	}
 	director.crew.wait()
 	director.soaker.journal.ready(time.Now().Add(recoveryBound))
-	return errors.Join(director.failed, rest(ctx, recoveryBound+judgedTime))
+	return errors.Join(director.failed, emulator.Pause(ctx, recoveryBound+judgedTime))
 }
 
 // scene is one event that is played.
@@ -95,11 +97,11 @@
 	case Publish:
 		return soaker.publish()
 	case PublishStorm:
-		for range 5 {
+		for range stormVersions {
 			if err := soaker.publish(); err != nil {
 				return err
 			}
-			time.Sleep(event.duration / 5)
+			time.Sleep(event.duration / stormVersions)
 		}
 	case ForeignEntry:
 		soaker.operator.Scribble(fmt.Sprintf("foreign-%d", event.target), []byte(`{"service":7,"address":null}`))
--- a/internal/soaker/gateway.go
+++ b/internal/soaker/gateway.go
@@ -211,7 +211,7 @@
 		if !expected {
 			gateway.journal.violated("ended-by-itself", fmt.Sprintf("%s: %v", gateway.name, process.ProcessState))
 		}
-		if rest(ctx, restartTime) != nil {
+		if emulator.Pause(ctx, restartTime) != nil {
 			return
 		}
 		if err := gateway.start(); err != nil {
--- a/internal/soaker/journal.go
+++ b/internal/soaker/journal.go
@@ -26,8 +26,6 @@
 	answer string
 	// signer and signed are what the answer's signature names.
 	signer, signed string
-	// part is true where an answer began and broke off.
-	part bool
 	// abandoned is true where the caller's own patience was over.
 	abandoned bool
 }
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/emulator"
 )
 
 // path is what is wrong with the connections of a proxy. The zero value is
@@ -193,7 +195,7 @@
 		path, switched := stream.link.proxy.current()
 		held := path.noRequests && !stream.answers || path.noAnswers && stream.answers
 		if !held {
-			return path.delay == 0 || rest(ctx, path.delay) == nil
+			return path.delay == 0 || emulator.Pause(ctx, path.delay) == nil
 		}
 		select {
 		case <-switched:
--- a/internal/soaker/routing.go
+++ b/internal/soaker/routing.go
@@ -12,21 +12,20 @@
 // one that every version moves to a service of its own, which so tells the
 // version that a gateway went by.
 const (
-	hostName      = "soak.example"
-	manyPrefix    = "/many/"
-	oncePrefix    = "/once/"
-	movedPrefix   = "/moved/"
-	manyService   = "many"
-	onceService   = "once"
-	movedService  = "moved-"
-	attempts      = 3
-	requestTime   = 1500 * time.Millisecond
-	aimedTime     = 500 * time.Millisecond
-	maxBodyBytes  = 1 << 20
-	maxHeadBytes  = 16 << 10
-	headTime      = 5 * time.Second
-	idleTime      = 30 * time.Second
-	movedVersions = 64
+	hostName     = "soak.example"
+	manyPrefix   = "/many/"
+	oncePrefix   = "/once/"
+	movedPrefix  = "/moved/"
+	manyService  = "many"
+	onceService  = "once"
+	movedService = "moved-"
+	attempts     = 3
+	requestTime  = 1500 * time.Millisecond
+	aimedTime    = 500 * time.Millisecond
+	maxBodyBytes = 1 << 20
+	maxHeadBytes = 16 << 10
+	headTime     = 5 * time.Second
+	idleTime     = 30 * time.Second
 )
 
 var callerLimits = definer.NewCallerLimits(maxHeadBytes, maxBodyBytes, headTime, idleTime)
--- a/internal/soaker/servant.go
+++ b/internal/soaker/servant.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/emulator"
 	"github.com/chivespool/chivespool/platform"
 )
 
@@ -20,6 +21,8 @@
 	// take.
 	workTime    = 10 * time.Millisecond
 	slowestWork = 200 * time.Millisecond
+	// longEvery is how many requests there are for one that runs long.
+	longEvery = 10
 	// answerBytes is the size of an answer's body.
 	answerBytes = 3000
 )
@@ -127,7 +130,7 @@
 		id: errand.ID(), endpoint: servant.name, service: servant.service, target: errand.Target(),
 		body: string(errand.Body()), at: time.Now(),
 	})
-	_ = rest(ctx, workOf(errand.ID()))
+	_ = emulator.Pause(ctx, workOf(errand.ID())) // The work ends with its caller.
 	body := answerOf(errand.ID(), servant.name)
 	switch {
 	case misdeed == failing && spoiled:
@@ -138,10 +141,10 @@
 	return platform.Answered(http.StatusOK, body)
 }
 
-// workOf returns how long the request with id runs: one in ten is long.
+// workOf returns how long the request with id runs.
 func workOf(id string) time.Duration {
 	number := hash(id)
-	if number%10 == 0 {
+	if number%longEvery == 0 {
 		return time.Duration(number % uint64(slowestWork))
 	}
 	return workTime
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -189,7 +189,7 @@
 		}
 		fleet.add(ctx, gateway)
 	}
-	if err := rest(ctx, settleTime); err != nil {
+	if err := emulator.Pause(ctx, settleTime); err != nil {
 		return err
 	}
 	var clients crew
@@ -215,15 +215,3 @@
 		servant.close()
 	}
 }
-
-// rest waits for duration, or fails with the end of ctx.
-func rest(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
