tracker: metrics of the local view's staleness and of kept endpoints

Change: gauges tracker.age and tracker.endpoints.kept, timer tracker.staleness (its maximum outlives the moment), counters of complete and of failed reads. The log line about a kept endpoint names the service and the revision; the line about an assignment marks endpoints that reported themselves as unhealthy.

Result: go test of tracker, assigner and launcher passes; no decision changes.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -161,12 +161,17 @@
 		"expected", choice.ExpectedRun(), "asked", describe(candidates), "waited", waited, "belief-age", age, "revision", revision)
 }
 
-// describe lists the load that each endpoint reported.
+// describe lists the load that each endpoint reported, and marks endpoints that
+// reported themselves as unhealthy.
 func describe(candidates []placer.Candidate) string {
 	var text strings.Builder
 	for _, candidate := range candidates {
 		report := candidate.Report()
-		fmt.Fprintf(&text, "%s:%d+%d/%d@%.2f ", candidate.Name(), report.Running(), report.Waiting(), report.Slots(), report.Slowdown())
+		health := ""
+		if !report.Healthy() {
+			health = "!"
+		}
+		fmt.Fprintf(&text, "%s:%d+%d/%d@%.2f%s ", candidate.Name(), report.Running(), report.Waiting(), report.Slots(), report.Slowdown(), health)
 	}
 	return strings.TrimSpace(text.String())
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -137,6 +137,7 @@
 		seeds = append(seeds, seed.Name())
 	}
 	gateway.tracker.SetSeeds(seeds)
+	gateway.tracker.SetRegistry(gateway.registry)
 	// The registration leaves out the incarnation, so that the next start finds it
 	// unchanged and keeps it.
 	value, err := encoder.MarshalHost(definer.NewHost(gateway.self.Name(), gateway.self.Address(),
--- a/internal/tracker/builder.go
+++ b/internal/tracker/builder.go
@@ -101,7 +101,8 @@
 		until, inGrace := builder.graceUntil[name]
 		if !inGrace && afterOutage && endpoint.usable {
 			builder.graceUntil[name] = now.Add(lapseGrace)
-			builder.journal.Change("endpoint entry missing after store outage", "name", name, "kept", lapseGrace)
+			builder.journal.Change("endpoint entry missing after store outage", "name", name, "service", endpoint.value.Pool(),
+				"kept", lapseGrace, "revision", replica.revision)
 			continue
 		}
 		if now.Before(until) {
--- /dev/null
+++ b/internal/tracker/meters.go
@@ -0,0 +1,53 @@
+package tracker
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// meters holds the tracker's metrics. The zero value records nothing.
+type meters struct {
+	// staleness is the age that the view had reached at each freshness check.
+	staleness metrics.Timer
+	// completeReads counts the reads of the whole store, failedReads the reads that
+	// got no answer.
+	completeReads metrics.Counter
+	failedReads   metrics.Counter
+}
+
+// SetRegistry registers the tracker's metrics in registry, under names that begin
+// with "tracker.". Call it before the tasks run.
+func (tracker *Tracker) SetRegistry(registry metrics.Registry) {
+	tracker.meters = meters{
+		staleness:     metrics.GetOrRegisterTimer("tracker.staleness", registry),
+		completeReads: metrics.GetOrRegisterCounter("tracker.reads.complete", registry),
+		failedReads:   metrics.GetOrRegisterCounter("tracker.reads.failed", registry),
+	}
+	metrics.NewRegisteredFunctionalGauge("tracker.age", registry, func() int64 {
+		return tracker.Age(time.Now()).Nanoseconds()
+	})
+	metrics.NewRegisteredFunctionalGauge("tracker.endpoints.kept", registry, func() int64 {
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		return int64(len(tracker.builder.graceUntil))
+	})
+}
+
+func (meters *meters) check(staleness time.Duration) {
+	if meters.staleness != nil {
+		meters.staleness.Update(staleness)
+	}
+}
+
+func (meters *meters) completeRead() {
+	if meters.completeReads != nil {
+		meters.completeReads.Inc(1)
+	}
+}
+
+func (meters *meters) failedRead() {
+	if meters.failedReads != nil {
+		meters.failedReads.Inc(1)
+	}
+}
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -158,6 +158,7 @@
 	tracker.disconnected = err != nil
 	if err != nil {
 		tracker.failedAt = time.Now()
+		tracker.meters.failedRead()
 	}
 	if outage := tracker.timing.share(overdueExclusionShare); changed && err != nil && start.Sub(tracker.exclusionsClearedAt) > outage {
 		tracker.exclusionsClearedAt = start
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -68,6 +68,7 @@
 	peers   Peers
 	timing  timing
 	journal Journal
+	meters  meters
 	current atomic.Pointer[View]
 	// firstCheck is closed at the first freshness check.
 	firstCheck chan struct{}
@@ -180,6 +181,8 @@
 	}
 	if tracker.checkedAt.IsZero() {
 		close(tracker.firstCheck)
+	} else {
+		tracker.meters.check(tracker.age(time.Now()))
 	}
 	tracker.checkedAt = at
 	tracker.checks++
@@ -295,6 +298,7 @@
 // readAll reads the whole store with a scan that is not stale, and records a
 // freshness check.
 func (tracker *Tracker) readAll(ctx context.Context, start time.Time) error {
+	tracker.meters.completeRead()
 	items, asOf, err := tracker.store.Scan(ctx, "", false)
 	if err != nil {
 		return err
