tracker: a failing test of a removal that a stale host learns of

The test fails on the current code: a host whose copy of the store is over 1.5 s old takes that for an outage of the store, and keeps an endpoint whose removal it has just learned of for 2 s more. It fails both where the host learns of the removal from a peer and where it reads it itself, with no failed call to the store.

--- a/internal/tracker/fleet_test.go
+++ b/internal/tracker/fleet_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,11 +31,13 @@
 	down, silent, hung bool
 	// refused holds the hosts whose calls fail.
 	refused map[string]bool
-	calls   int
+	// delays holds the hosts whose calls take longer than usual, and by how much.
+	delays map[string]time.Duration
+	calls  int
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, items: make(map[string]Item), refused: make(map[string]bool)}
+	return &fakeStore{revision: 1, items: make(map[string]Item), refused: make(map[string]bool), delays: make(map[string]time.Duration)}
 }
 
 func (fakeStore *fakeStore) write(key, value string) {
@@ -66,12 +69,23 @@
 type storeClient struct {
 	*fakeStore
 	host string
+	// link is the host's incoming link; nil for one without a limit.
+	link *link
+}
+
+// deliver transfers the items of an answer over the host's link.
+func (storeClient *storeClient) deliver(ctx context.Context, items []Item) error {
+	if err := carry(ctx, transitBytes(items, base64Share), storeClient.link); err != nil {
+		return connector.NewError(connector.Unavailable, "call", err)
+	}
+	return nil
 }
 
 func (storeClient *storeClient) startCall(ctx context.Context) error {
 	storeClient.mu.Lock()
 	storeClient.calls++
 	down, refused := storeClient.down, storeClient.refused[storeClient.host]
+	delay := 8*time.Millisecond + storeClient.delays[storeClient.host]
 	storeClient.mu.Unlock()
 	if down {
 		select {
@@ -83,8 +97,22 @@
 	if refused {
 		return connector.NewError(connector.Unavailable, "call", errors.New("status 503"))
 	}
-	time.Sleep(8 * time.Millisecond)
-	return ctx.Err()
+	if !sleep(ctx, delay) {
+		return connector.NewError(connector.Unavailable, "call", ctx.Err())
+	}
+	return nil
+}
+
+// sleep waits for a time and returns true, or returns false when ctx is done.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func (storeClient *storeClient) Revision(ctx context.Context) (uint64, error) {
@@ -109,11 +137,15 @@
 			items = append(items, storeClient.items[key])
 		}
 	}
+	revision := storeClient.revision
 	if last := len(storeClient.log) - 1; stale && last > 0 && len(items) > 0 {
 		items = slices.DeleteFunc(items, func(item Item) bool { return item.revision == storeClient.revision })
-		return items, storeClient.revision - 1, nil
+		revision--
 	}
-	return items, storeClient.revision, nil
+	storeClient.mu.Unlock()
+	err := storeClient.deliver(ctx, items)
+	storeClient.mu.Lock()
+	return items, revision, err
 }
 
 // slowScan is the duration of a scan of a busy store.
@@ -158,7 +190,11 @@
 			changes = append(changes, change)
 		}
 	}
-	return changes, storeClient.revision, nil
+	revision := storeClient.revision
+	storeClient.mu.Unlock()
+	err := storeClient.deliver(ctx, changes)
+	storeClient.mu.Lock()
+	return changes, revision, err
 }
 
 // textDecoder reads values such as "7" for a table and "ledger" for an endpoint
@@ -166,7 +202,7 @@
 type textDecoder struct{}
 
 func (textDecoder) Table(value []byte) (*definer.RouteTable, error) {
-	version, err := strconv.ParseUint(string(value), 10, 64)
+	version, err := strconv.ParseUint(strings.TrimSpace(string(value)), 10, 64)
 	return definer.NewRouteTable(version, nil, map[string]string{"ledger": "/health"}, definer.CallerLimits{}), err
 }
 
@@ -188,11 +224,13 @@
 	store    *fakeStore
 	trackers map[string]*Tracker
 	// cut holds the pairs of hosts that can't reach each other.
-	cut     map[[2]string]bool
-	cancels map[string]context.CancelFunc
-	wait    sync.WaitGroup
-	fetches int
-	mu      sync.Mutex
+	cut map[[2]string]bool
+	// incoming and outgoing hold the links of hosts; nil for links without a limit.
+	incoming, outgoing map[string]*link
+	cancels            map[string]context.CancelFunc
+	wait               sync.WaitGroup
+	fetches            int
+	mu                 sync.Mutex
 }
 
 // changeBound is the bound within which a change must be in force.
@@ -212,7 +250,8 @@
 func (peerClient *peerClient) Fetch(ctx context.Context, host string, revision, checks uint64) (Update, error) {
 	peerClient.mu.Lock()
 	peerClient.fetches++
-	tracker, cut := peerClient.trackers[host], peerClient.cut[[2]string{peerClient.host, host}] || peerClient.cut[[2]string{host, peerClient.host}]
+	tracker, outgoing, incoming := peerClient.trackers[host], peerClient.outgoing[host], peerClient.incoming[peerClient.host]
+	cut := peerClient.cut[[2]string{peerClient.host, host}] || peerClient.cut[[2]string{host, peerClient.host}]
 	peerClient.mu.Unlock()
 	if cut || tracker == nil {
 		<-ctx.Done()
@@ -221,19 +260,32 @@
 	time.Sleep(12 * time.Millisecond)
 	update := tracker.Serve(ctx, revision, checks)
 	time.Sleep(12 * time.Millisecond)
+	if err := carry(ctx, transitBytes(update.items, compressedShare), outgoing, incoming); err != nil {
+		return Update{}, err
+	}
 	return update, ctx.Err()
 }
 
 // layout is the number of regions of a fleet, of data centres in each region,
 // and of hosts in each data centre.
-type layout struct{ regions, centres, hosts int }
+type layout struct {
+	regions, centres, hosts int
+	// limited is true where links have limits: fast hosts of each data centre have
+	// fast links, the others slow ones.
+	limited bool
+	fast    int
+	// bound is the bound within which a change must be in force; 0 for changeBound.
+	bound time.Duration
+}
 
 func newFleet(t *testing.T, layout layout) *fleet {
 	t.Helper()
 	fleet := &fleet{
 		store: newFakeStore(), trackers: make(map[string]*Tracker),
 		cut: make(map[[2]string]bool), cancels: make(map[string]context.CancelFunc),
+		incoming: make(map[string]*link), outgoing: make(map[string]*link),
 	}
+	bound := cmp.Or(layout.bound, changeBound)
 	fleet.store.write("table", "1")
 	for region := range layout.regions {
 		for centre := range layout.centres {
@@ -243,7 +295,15 @@
 				host := definer.NewHost(name, name, name, place, 1)
 				fleet.store.write("hosts/"+name, fmt.Sprintf("%s %s %s", name, place.Region(), place.DataCentre()))
 				keys := NewKeys("table", "endpoints/", "hosts/")
-				fleet.trackers[name] = New(host, &storeClient{fleet.store, name}, &peerClient{fleet, name}, textDecoder{}, keys, changeBound, discardJournal{})
+				if layout.limited {
+					rate := float64(slowLink)
+					if number >= layout.hosts-layout.fast {
+						rate = fastLink
+					}
+					fleet.incoming[name], fleet.outgoing[name] = newLink(rate), newLink(rate)
+				}
+				store := &storeClient{fakeStore: fleet.store, host: name, link: fleet.incoming[name]}
+				fleet.trackers[name] = New(host, store, &peerClient{fleet, name}, textDecoder{}, keys, bound, discardJournal{})
 			}
 		}
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -39,7 +39,7 @@
 // failed read.
 func TestChangesAfterShortOutage(t *testing.T) {
 	const calm, writing = 3 * time.Second, 250 * time.Millisecond
-	for _, layout := range []layout{{1, 1, 5}, {1, 1, 14}, {3, 2, 3}} {
+	for _, layout := range []layout{{regions: 1, centres: 1, hosts: 5}, {regions: 1, centres: 1, hosts: 14}, {regions: 3, centres: 2, hosts: 3}} {
 		for outage := 200 * time.Millisecond; outage < 3*time.Second; outage += 200 * time.Millisecond {
 			withLayout(t, layout, func(t *testing.T, fleet *fleet) {
 				fleet.store.set(func(store *fakeStore) { store.down = true })
@@ -76,11 +76,11 @@
 		fleet.store.set(func(store *fakeStore) { store.down = true })
 		time.Sleep(time.Second)
 		late := definer.NewHost("late", "late", "late", definer.NewPlace("region-0", "centre-0-0"), 1)
-		tracker := New(late, &storeClient{fleet.store, "late"}, &peerClient{fleet, "late"}, textDecoder{},
+		tracker := New(late, &storeClient{fakeStore: fleet.store, host: "late"}, &peerClient{fleet, "late"}, textDecoder{},
 			NewKeys("table", "endpoints/", "hosts/"), changeBound, discardJournal{})
 		tracker.SetSeeds([]string{"gone", "empty", "host-1-0-1"})
 		empty := definer.NewHost("empty", "empty", "empty", definer.NewPlace("region-0", "centre-0-0"), 1)
-		fleet.start("empty", New(empty, &storeClient{fleet.store, "empty"}, &peerClient{fleet, "empty"}, textDecoder{},
+		fleet.start("empty", New(empty, &storeClient{fakeStore: fleet.store, host: "empty"}, &peerClient{fleet, "empty"}, textDecoder{},
 			NewKeys("table", "endpoints/", "hosts/"), changeBound, discardJournal{}))
 		fleet.start("late", tracker)
 		time.Sleep(2 * changeBound)
@@ -116,7 +116,7 @@
 func TestSlowStoreAsksNoSeed(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, fleet *fleet) {
 		late := definer.NewHost("late", "late", "late", definer.NewPlace("region-0", "centre-0-0"), 1)
-		tracker := New(late, &slowStoreClient{storeClient{fleet.store, "late"}}, &peerClient{fleet, "late"}, textDecoder{},
+		tracker := New(late, &slowStoreClient{storeClient{fakeStore: fleet.store, host: "late"}}, &peerClient{fleet, "late"}, textDecoder{},
 			NewKeys("table", "endpoints/", "hosts/"), changeBound, discardJournal{})
 		tracker.SetSeeds([]string{"host-1-0-1"})
 		fleet.start("late", tracker)
@@ -311,6 +311,47 @@
 	})
 }
 
+// TestRemovalOnStaleHost removes an endpoint's entry while a host's copy of the
+// store is old, though no call to the store has failed: the host must not keep the
+// endpoint once it knows of the removal. It took the age of its copy for an outage
+// of the store (inc1).
+func TestRemovalOnStaleHost(t *testing.T) {
+	t.Run("peer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			self := definer.NewHost("self", "self", "self", definer.NewPlace("region", "centre"), 1)
+			tracker := New(self, &storeClient{fakeStore: store, host: "self"}, nil, textDecoder{}, NewKeys("table", "endpoints/", "hosts/"), changeBound, discardJournal{})
+			items := []Item{NewItem("table", []byte("1"), 1), NewItem("endpoints/a", []byte("ledger"), 2)}
+			tracker.applyUpdate(time.Now(), NewUpdate(2, 0, 1, true, items))
+			time.Sleep(2 * outageAge)
+			tracker.applyUpdate(time.Now(), NewUpdate(3, 0, 2, false, []Item{RemovedItem("endpoints/a", 3)}))
+			if len(tracker.View().Endpoints("ledger")) > 0 {
+				t.Error("the host knows of the removal and keeps the endpoint")
+			}
+		})
+	})
+	t.Run("store", func(t *testing.T) {
+		withLayout(t, layout{regions: 1, centres: 1, hosts: 1}, func(t *testing.T, fleet *fleet) {
+			fleet.store.write("endpoints/a", "ledger")
+			time.Sleep(changeBound)
+			fleet.store.set(func(store *fakeStore) { store.delays["host-0-0-0"] = outageAge + 100*time.Millisecond })
+			time.Sleep(10 * time.Second)
+			fleet.store.remove("endpoints/a")
+			var removed uint64
+			fleet.store.set(func(store *fakeStore) { removed = store.revision })
+			tracker := fleet.trackers["host-0-0-0"]
+			for start := time.Now(); tracker.View().Revision() < removed; time.Sleep(10 * time.Millisecond) {
+				if time.Since(start) > 10*time.Second {
+					t.Fatal("the host has not read the removal within 10 s")
+				}
+			}
+			if len(tracker.View().Endpoints("ledger")) > 0 {
+				t.Error("the host knows of the removal and keeps the endpoint")
+			}
+		})
+	})
+}
+
 // TestVersionNeverDecreases writes an older routing version at a newer
 // revision.
 func TestVersionNeverDecreases(t *testing.T) {
