tracker: a failing test of removals while a large routing table spreads

The test publishes a routing table of the largest size that the store holds in a fleet most of whose hosts have links of 10 Mbit/s, and removes an endpoint at the same moment, eight times.

--- /dev/null
+++ b/internal/tracker/large_table_test.go
@@ -0,0 +1,54 @@
+package tracker
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// largeTable returns a routing table of the largest size that the store holds.
+func largeTable(version int) string {
+	return fmt.Sprintf("%d%s", version, strings.Repeat(" ", 1000<<10))
+}
+
+// removeWhileRoutingGrows removes an endpoint and publishes a large routing table
+// at the same time, several times in a row, and returns the hosts that still have
+// an endpoint when the bound has passed.
+func (fleet *fleet) removeWhileRoutingGrows(bound time.Duration) []string {
+	var late []string
+	for round := range 8 {
+		fleet.store.write("endpoints/leaving", "ledger")
+		time.Sleep(4*bound + time.Duration(round)*bound/20)
+		fleet.store.remove("endpoints/leaving")
+		fleet.store.write("table", largeTable(round+2))
+		time.Sleep(bound)
+		for name, tracker := range fleet.trackers {
+			if len(tracker.View().Endpoints("ledger")) > 0 {
+				late = append(late, name)
+			}
+		}
+	}
+	slices.Sort(late)
+	return late
+}
+
+// TestRemovalBehindLargeTable removes endpoints while large routing tables are
+// published, in a fleet most of whose hosts have slow links. The reader of the
+// fleet had a slow link: the store's answer took longer than a call may take, and
+// every host read the whole store in turn (inc1).
+func TestRemovalBehindLargeTable(t *testing.T) {
+	for _, layout := range []layout{
+		{regions: 3, centres: 2, hosts: 21, limited: true, fast: 2, bound: 3 * time.Second},
+		{regions: 1, centres: 3, hosts: 5, limited: true, fast: 1, bound: 3 * time.Second},
+	} {
+		t.Run(fmt.Sprint(layout.regions, layout.centres, layout.hosts), func(t *testing.T) {
+			withLayout(t, layout, func(t *testing.T, fleet *fleet) {
+				if late := fleet.removeWhileRoutingGrows(layout.bound); len(late) > 0 {
+					t.Errorf("%d times, a host keeps an endpoint for more than %v; the first: %s", len(late), layout.bound, late[0])
+				}
+			})
+		})
+	}
+}
