tracker: only failed reads of the store show an outage

Cause: after an outage of the store, endpoints without an entry are kept for 2 s, since live ones come back. A host took the age of its own copy for an outage. Where updates were late for another reason - a large routing table, a slow peer - it kept endpoints whose removal it had just learned of.

Change: an outage is shown by the host's own reads of the store, the last of which failed. TestRemovalOnStaleHost failed before and passes. TestLapsedAtEndOfOutage (new) plays 20 lengths of real outages: no host drops a live endpoint; it passes before and after.

Conclusion: the first of two causes. The rest needs reads that are not cut off.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -196,10 +196,17 @@
 	tracker.current.Store(tracker.builder.build(now, &tracker.replica, afterOutage))
 }
 
-// outageAge is the age of the last freshness check above which entries may have
-// lapsed in an outage of the store.
+// outageAge is the length of an outage of the store above which entries may have
+// lapsed in it.
 const outageAge = 1500 * time.Millisecond
 
+// afterOutage reports whether an outage of the store lasted until now. The age of
+// the copy alone does not show one: an update may also be late because it is large
+// or because a peer is slow. The caller holds mu.
+func (tracker *Tracker) afterOutage(now time.Time) bool {
+	return tracker.disconnected && tracker.age(now) > outageAge
+}
+
 // read brings the replica up to the store's revision; start is the time at which
 // the read began.
 func (tracker *Tracker) read(ctx context.Context, start time.Time) error {
@@ -305,7 +312,7 @@
 	}
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	afterOutage := tracker.age(start) > outageAge
+	afterOutage := tracker.afterOutage(start)
 	if tracker.replica.replace(items, asOf) {
 		tracker.rebuild(time.Now(), afterOutage)
 	}
@@ -327,7 +334,7 @@
 func (tracker *Tracker) applyChanges(start time.Time, changes []Item, upTo, revision uint64) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	afterOutage := tracker.age(start) > outageAge
+	afterOutage := tracker.afterOutage(start)
 	if !tracker.replica.apply(changes, upTo) {
 		return false
 	}
@@ -350,7 +357,7 @@
 		return
 	}
 	checkedAt := now.Add(-update.age - transitTime)
-	afterOutage := tracker.age(now) > outageAge
+	afterOutage := tracker.afterOutage(now)
 	if update.revision > tracker.replica.revision {
 		switch {
 		case update.complete:
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -352,6 +352,37 @@
 	})
 }
 
+// TestLapsedAtEndOfOutage removes the entry of a live endpoint at the end of outages
+// that are long enough for entries to lapse, and writes it again 1.5 s later. No
+// host may drop the endpoint in between.
+func TestLapsedAtEndOfOutage(t *testing.T) {
+	for outage := 3 * time.Second; outage < 5*time.Second; outage += 100 * time.Millisecond {
+		withFleet(t, 3, func(t *testing.T, fleet *fleet) {
+			fleet.store.write("endpoints/a", "ledger")
+			time.Sleep(changeBound + outage%time.Second)
+			fleet.store.set(func(store *fakeStore) { store.down = true })
+			time.Sleep(outage)
+			fleet.store.remove("endpoints/a")
+			fleet.store.set(func(store *fakeStore) { store.down = false })
+			for range 30 {
+				time.Sleep(50 * time.Millisecond)
+				for name, tracker := range fleet.trackers {
+					if len(tracker.View().Endpoints("ledger")) == 0 {
+						t.Fatalf("%s drops the endpoint after an outage of %v", name, outage)
+					}
+				}
+			}
+			fleet.store.write("endpoints/a", "ledger")
+			time.Sleep(2 * changeBound)
+			for name, tracker := range fleet.trackers {
+				if len(tracker.View().Endpoints("ledger")) == 0 {
+					t.Fatalf("%s has dropped the endpoint, whose entry is back, after an outage of %v", name, outage)
+				}
+			}
+		})
+	}
+}
+
 // TestVersionNeverDecreases writes an older routing version at a newer
 // revision.
 func TestVersionNeverDecreases(t *testing.T) {
