connector: time limits on the progress of a reply instead of its length

Cause: a call for changes had 0.4 s, a complete read 1 s for each page, whatever the size of the reply. A routing of 4,000 routes is 1.3 MB in the store's reply and takes a second through a link of 10 Mbit/s. So the read of changes was cut off and replaced by a complete read, which is larger and was cut off as well; the children of such a host found its copy overdue and did the same. Ruled out: a hung watch, for which the limit was made; the store answered 0.4 s before each time.

Change: a reply must begin within the limit, may not pause for longer, and has an overall rate of 256 kB a second or more; one that keeps arriving is read to its end.

What remains is that hosts with slow links forward the updates of others.

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,13 +19,18 @@
 	"github.com/chivespool/chivespool/internal/dialer"
 )
 
-// DefaultTimeout bounds a call to the platform that has no earlier deadline; the
-// wait of a watch is added to it.
+// DefaultTimeout bounds the time until the reply to a call begins, to which the wait
+// of a watch is added, and each pause in the body of the reply.
 const DefaultTimeout = 2 * time.Second
 
 const (
 	// maxAnswerBytes leaves room for a value of 1 MB in base64.
 	maxAnswerBytes = 2 << 20
+	// minAnswerRate, in bytes a second, bounds the time for the body of a reply: the
+	// slowest link carries 1.25 MB a second, and requests of callers share it.
+	minAnswerRate = 256 << 10
+	// maxTransferTime is the longest time for the body of a reply.
+	maxTransferTime = maxAnswerBytes / minAnswerRate * time.Second
 	// maxIdleConnections bounds the idle connections kept to one service of the
 	// platform; concurrent calls may open more.
 	maxIdleConnections = 8
@@ -34,7 +40,7 @@
 // Option configures a new Caller, Store or HostList.
 type Option func(*Caller)
 
-// WithTimeout sets the timeout of each call in place of DefaultTimeout.
+// WithTimeout sets the timeout of calls in place of DefaultTimeout.
 func WithTimeout(timeout time.Duration) Option {
 	return func(caller *Caller) { caller.timeout = timeout }
 }
@@ -105,7 +111,10 @@
 	effect bool
 	// wait is how long the platform may intentionally delay the reply.
 	wait time.Duration
-	body any
+	// timeout is the longest time until the reply begins, without wait; 0 for the
+	// caller's timeout.
+	timeout time.Duration
+	body    any
 }
 
 // NewCall returns a read-only call; operation names it in errors.
@@ -119,6 +128,13 @@
 	return call
 }
 
+// WithTimeout returns a copy whose reply must begin within timeout, in place of the
+// caller's. Pauses in the body of the reply are still bounded by the caller's.
+func (call Call) WithTimeout(timeout time.Duration) Call {
+	call.timeout = timeout
+	return call
+}
+
 // WithEffect returns a copy that may change the platform's state; body is sent
 // as JSON unless it is nil.
 func (call Call) WithEffect(body any) Call {
@@ -157,8 +173,9 @@
 }
 
 func (caller *Caller) exchange(ctx context.Context, call Call, read func(status int, body []byte) error) error {
-	ctx, cancel := context.WithTimeout(ctx, caller.timeout+call.wait)
-	defer cancel()
+	transfer := newTransfer(ctx, cmp.Or(call.timeout, caller.timeout)+call.wait)
+	defer transfer.end()
+	ctx = transfer.ctx
 	// sent is true once the request has a connection: from then on, bytes of it may
 	// have reached the platform.
 	var sent atomic.Bool
@@ -174,7 +191,8 @@
 		return NewError(lossKind(call.effect && sent.Load()), call.operation, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	transfer.begin(response.Body, caller.timeout)
+	data, err := io.ReadAll(io.LimitReader(transfer, maxAnswerBytes))
 	if err != nil {
 		return call.LostReplyError(err)
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -97,7 +97,8 @@
 // HostList returns the base URL of the platform's host list.
 func (settings *Settings) HostList() string { return settings.hostList }
 
-// PlatformTimeout bounds one call to the platform.
+// PlatformTimeout bounds the time until a reply of the platform begins, and each pause
+// in it.
 func (settings *Settings) PlatformTimeout() time.Duration { return settings.platformTimeout }
 
 // ReadyAddress returns the address of a gateway's readiness check for the
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -46,7 +46,7 @@
 	},
 	{
 		section: "platform", key: "timeout", defaultValue: "2s", allowed: "a time from 10ms to 1m",
-		doc: "The bound on one call to the platform; a watch may wait longer.",
+		doc: "The bound on the time until the platform's reply begins, and on each pause in it; a watch may wait longer.",
 		set: duration("10ms", "1m", func(settings *Settings) *time.Duration { return &settings.platformTimeout }),
 	},
 	{
--- a/internal/tracker/fleet_test.go
+++ b/internal/tracker/fleet_test.go
@@ -159,18 +159,17 @@
 	return slowStoreClient.storeClient.Scan(ctx, prefix, stale)
 }
 
-func (storeClient *storeClient) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
-	if err := storeClient.startCall(ctx); err != nil {
+func (storeClient *storeClient) Changes(ctx context.Context, _ string, after uint64, wait, limit time.Duration) ([]Item, uint64, error) {
+	start, cancel := context.WithTimeout(ctx, wait+limit)
+	defer cancel()
+	if err := storeClient.startCall(start); err != nil {
 		return nil, 0, err
 	}
 	storeClient.mu.Lock()
 	hung := storeClient.hung
 	storeClient.mu.Unlock()
 	if hung {
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Second):
-		}
+		<-start.Done()
 		return nil, 0, connector.NewError(connector.Unavailable, "watch", errDown)
 	}
 	storeClient.mu.Lock()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -17,8 +17,9 @@
 	// that. A stale scan costs less and may be seconds behind.
 	Scan(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error)
 	// Changes returns the changes after a revision, and the revision up to
-	// which they are complete.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+	// which they are complete. It waits for a change for at most wait, and fails if
+	// the reply does not begin within limit after that.
+	Changes(ctx context.Context, prefix string, after uint64, wait, limit time.Duration) ([]Item, uint64, error)
 }
 
 // Peers are the other entry hosts.
@@ -241,7 +242,7 @@
 // the changes are incomplete.
 func (tracker *Tracker) catchUp(ctx context.Context, start time.Time, known, revision uint64) error {
 	for {
-		changes, upTo, err := tracker.changes(ctx, known)
+		changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait, changesLimit)
 		if err != nil || upTo <= known || !tracker.applyChanges(start, changes, upTo, revision) {
 			tracker.journal.Change("store changes incomplete; reading the whole store", "after", known, "to", upTo,
 				"revision", revision, "told", len(changes), "error", err)
@@ -254,14 +255,6 @@
 	}
 }
 
-// changes asks the store for the changes after a revision. Its time-out is short:
-// the store has just answered another call, so only the watch may hang.
-func (tracker *Tracker) changes(ctx context.Context, after uint64) ([]Item, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, changesTimeout)
-	defer cancel()
-	return tracker.store.Changes(ctx, "", after, changesWait)
-}
-
 // readFirst reads the whole store with a stale scan, which costs least. It is no
 // freshness check, but it shows which peers exist, and a peer sends the changes
 // since.
@@ -324,9 +317,10 @@
 // already covers.
 const changesWait = 20 * time.Millisecond
 
-// changesTimeout bounds the call for changes; a slow store takes 250 ms for an
-// answer.
-const changesTimeout = 400 * time.Millisecond
+// changesLimit bounds the time until the reply with the changes begins. It is short:
+// the store has just answered another call, so only the watch may hang. A slow store
+// takes 250 ms for an answer.
+const changesLimit = 400 * time.Millisecond
 
 // applyChanges applies changes up to upTo and reports whether they are
 // complete. Where upTo reaches the store's revision, it records a freshness
