tracker: hosts with fast links forward the updates of the others

Cause: positions in the tree of hosts followed from a hash of their names alone. A routing of 2,800 routes takes 50 kB between hosts; 26 copies of it fill such a link for a second, and the reader's own calls to the store wait behind them.

Change: each host registers the rate of its link (setting [host] link-megabits, from the platform's settings), and hosts rank by it before the hash. Hosts of the old build rank last: beside them, positions may differ, and a host that receives no update reads the store itself, as before.

--- a/internal/definer/host.go
+++ b/internal/definer/host.go
@@ -27,6 +27,9 @@
 	// incarnation rises with each start of the host's daemon.
 	incarnation uint64
 	state       HostState
+	// linkRate is the rate of the host's network link in bits per second; 0 if it is
+	// unknown.
+	linkRate uint64
 }
 
 // NewHost returns a live host.
@@ -49,6 +52,16 @@
 // Incarnation returns a number that rises with each start of the daemon.
 func (host Host) Incarnation() uint64 { return host.incarnation }
 
+// LinkRate returns the rate of the host's network link in bits per second, or 0 if it
+// is unknown.
+func (host Host) LinkRate() uint64 { return host.linkRate }
+
+// WithLinkRate returns a copy whose network link has a rate of bitsPerSecond.
+func (host Host) WithLinkRate(bitsPerSecond uint64) Host {
+	host.linkRate = bitsPerSecond
+	return host
+}
+
 // State returns the membership state.
 func (host Host) State() HostState { return host.state }
 
--- a/internal/encoder/copy.go
+++ b/internal/encoder/copy.go
@@ -73,6 +73,7 @@
 	value, err := proto.Marshal(&Member{
 		Name: host.Name(), Address: host.Address(), PeerAddress: host.PeerAddress(),
 		Region: host.Place().Region(), DataCentre: host.Place().DataCentre(), Incarnation: host.Incarnation(),
+		LinkRate: host.LinkRate(),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode host: %w", err)
@@ -90,5 +91,6 @@
 		return definer.Host{}, fmt.Errorf("decode host: name or address missing")
 	}
 	place := definer.NewPlace(member.GetRegion(), member.GetDataCentre())
-	return definer.NewHost(member.GetName(), member.GetAddress(), member.GetPeerAddress(), place, member.GetIncarnation()), nil
+	host := definer.NewHost(member.GetName(), member.GetAddress(), member.GetPeerAddress(), place, member.GetIncarnation())
+	return host.WithLinkRate(member.GetLinkRate()), nil
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -140,8 +140,8 @@
 	gateway.tracker.SetRegistry(gateway.registry)
 	// The registration leaves out the incarnation, so that the next start finds it
 	// unchanged and keeps it.
-	value, err := encoder.MarshalHost(definer.NewHost(gateway.self.Name(), gateway.self.Address(),
-		gateway.self.PeerAddress(), gateway.self.Place(), 0))
+	registered := definer.NewHost(gateway.self.Name(), gateway.self.Address(), gateway.self.PeerAddress(), gateway.self.Place(), 0)
+	value, err := encoder.MarshalHost(registered.WithLinkRate(gateway.self.LinkRate()))
 	if err != nil {
 		return err
 	}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -19,6 +19,8 @@
 	dataCentre  string
 	address     string
 	peerAddress string
+	// linkMegabits is the link's rate in megabits per second; 0 if it is unknown.
+	linkMegabits float64
 
 	store           string
 	hostList        string
@@ -72,9 +74,13 @@
 	return names
 }
 
+// megabit is a megabit in bits.
+const megabit = 1e6
+
 // Host returns the entry host that the settings describe, with incarnation.
 func (settings *Settings) Host(incarnation uint64) definer.Host {
-	return definer.NewHost(settings.name, settings.address, settings.peerAddress, settings.Place(), incarnation)
+	host := definer.NewHost(settings.name, settings.address, settings.peerAddress, settings.Place(), incarnation)
+	return host.WithLinkRate(uint64(settings.linkMegabits * megabit))
 }
 
 // Place returns the region and data centre of the host.
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -34,6 +34,11 @@
 		doc: "Where other entry hosts connect.",
 		set: address(func(settings *Settings) *string { return &settings.peerAddress }),
 	},
+	{
+		section: "host", key: "link-megabits", defaultValue: "0", allowed: "a number from 0 to 1000000",
+		doc: "The rate of the host's network link in megabits per second, or 0 if it is unknown. Hosts with faster links forward the updates of a gateway fleet.",
+		set: fraction(0, 1e6, func(settings *Settings) *float64 { return &settings.linkMegabits }),
+	},
 	{
 		section: "platform", key: "store", required: true, allowed: urlAllowed,
 		doc: "The platform's key-value store.",
--- a/internal/tracker/fleet_test.go
+++ b/internal/tracker/fleet_test.go
@@ -215,7 +215,12 @@
 
 func (textDecoder) Host(value []byte) (definer.Host, error) {
 	fields := strings.Fields(string(value))
-	return definer.NewHost(fields[0], fields[0], fields[0], definer.NewPlace(fields[1], fields[2]), 1), nil
+	host := definer.NewHost(fields[0], fields[0], fields[0], definer.NewPlace(fields[1], fields[2]), 1)
+	if len(fields) > 3 {
+		rate, err := strconv.ParseUint(fields[3], 10, 64)
+		return host.WithLinkRate(rate), err
+	}
+	return host, nil
 }
 
 // fleet is a set of trackers that share one store.
@@ -292,7 +297,6 @@
 				name := fmt.Sprintf("host-%d-%d-%d", region, centre, number)
 				place := definer.NewPlace(fmt.Sprint("region-", region), fmt.Sprint("centre-", region, "-", centre))
 				host := definer.NewHost(name, name, name, place, 1)
-				fleet.store.write("hosts/"+name, fmt.Sprintf("%s %s %s", name, place.Region(), place.DataCentre()))
 				keys := NewKeys("table", "endpoints/", "hosts/")
 				if layout.limited {
 					rate := float64(slowLink)
@@ -300,7 +304,9 @@
 						rate = fastLink
 					}
 					fleet.incoming[name], fleet.outgoing[name] = newLink(rate), newLink(rate)
+					host = host.WithLinkRate(uint64(8 * rate))
 				}
+				fleet.store.write("hosts/"+name, fmt.Sprintf("%s %s %s %d", name, place.Region(), place.DataCentre(), host.LinkRate()))
 				store := &storeClient{fakeStore: fleet.store, host: name, link: fleet.incoming[name]}
 				fleet.trackers[name] = New(host, store, &peerClient{fleet, name}, textDecoder{}, keys, bound, discardJournal{})
 			}
--- a/internal/tracker/large_table_test.go
+++ b/internal/tracker/large_table_test.go
@@ -37,13 +37,15 @@
 // TestRemovalBehindLargeTable removes endpoints while large routing tables are
 // published, in a fleet most of whose hosts have slow links. The reader of the
 // fleet had a slow link: the store's answer took longer than a call may take, and
-// every host read the whole store in turn (inc1).
+// every host read the whole store in turn (inc1). The shorter bound is only kept if
+// hosts with fast links forward the updates.
 func TestRemovalBehindLargeTable(t *testing.T) {
 	for _, layout := range []layout{
 		{regions: 3, centres: 2, hosts: 21, limited: true, fast: 2, bound: 3 * time.Second},
+		{regions: 3, centres: 2, hosts: 21, limited: true, fast: 2, bound: 2 * time.Second},
 		{regions: 1, centres: 3, hosts: 5, limited: true, fast: 1, bound: 3 * time.Second},
 	} {
-		t.Run(fmt.Sprint(layout.regions, layout.centres, layout.hosts), func(t *testing.T) {
+		t.Run(fmt.Sprint(layout.regions*layout.centres*layout.hosts, " hosts in ", layout.bound), func(t *testing.T) {
 			withLayout(t, layout, func(t *testing.T, fleet *fleet) {
 				if late := fleet.removeWhileRoutingGrows(layout.bound); len(late) > 0 {
 					t.Errorf("%d times, a host keeps an endpoint for more than %v; the first: %s", len(late), layout.bound, late[0])
--- a/internal/tracker/tree.go
+++ b/internal/tracker/tree.go
@@ -16,7 +16,8 @@
 // The depths of the tree. Hosts are ordered by rank (byRank): the first host of
 // the fleet reads the store, the first of each region asks it, the first of each
 // data centre asks that of its region, and the others ask that of their data
-// centre.
+// centre. A host may thus send each update to all other hosts of its data centre,
+// so that hosts with fast links rank first.
 const (
 	depthFleet depth = iota
 	depthRegion
@@ -67,10 +68,12 @@
 	return hosts[index]
 }
 
-// byRank compares hosts by a hash of their names. The order is the same on every
-// host, and spreads the first ranks over regions and data centres.
+// byRank compares hosts by the rates of their links, the fastest first, then by a
+// hash of their names. The order is the same on every host, and spreads the first
+// ranks over regions and data centres.
 func byRank(a, b definer.Host) int {
 	return cmp.Or(
+		cmp.Compare(b.LinkRate(), a.LinkRate()),
 		cmp.Compare(xxhash.Sum64String(a.Name()), xxhash.Sum64String(b.Name())),
 		cmp.Compare(a.Name(), b.Name()),
 	)
