tracker: the age of an update covers its time on the way

Cause: a host took the way of a peer's reply for 30 ms. An update with a large routing table takes over a second through a relay with a slow link; its receiver then counted its view as up to 1.24 s newer than it was, read the store that much too late and could take an unknown route for one that does not exist.

Change: a peer says how long it held a reply back, and the rest of the time since the request counts as the way. Peers of the old build do not say so: their updates count as older than they are, so that hosts of the new build read the store more often beside them.

Result: TestAgeCoversTransit failed before ('lacks a change of 2.4s ago and counts its view as 1.239s newer than that') and passes, as do the other tests of the package.

--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -31,7 +31,8 @@
 		return nil, err
 	}
 	body := &encoder.CopyNews{
-		Revision: update.Revision(), Age: int64(update.Age()), Proof: update.Checks(), Whole: update.Complete(), Items: items,
+		Revision: update.Revision(), Age: int64(update.Age()), Held: int64(update.Held()),
+		Proof: update.Checks(), Whole: update.Complete(), Items: items,
 	}
 	return &encoder.Reply{Body: &encoder.Reply_CopyNews{CopyNews: body}}, nil
 }
@@ -49,5 +50,6 @@
 	if err != nil {
 		return tracker.Update{}, err
 	}
-	return tracker.NewUpdate(update.GetRevision(), time.Duration(update.GetAge()), update.GetProof(), update.GetWhole(), items), nil
+	received := tracker.NewUpdate(update.GetRevision(), time.Duration(update.GetAge()), update.GetProof(), update.GetWhole(), items)
+	return received.WithHeld(time.Duration(update.GetHeld())), nil
 }
--- a/internal/tracker/large_table_test.go
+++ b/internal/tracker/large_table_test.go
@@ -54,3 +54,32 @@
 		})
 	}
 }
+
+// TestAgeCoversTransit publishes a large routing table and then small changes in a
+// fleet of hosts with slow links: a host that lacks a change must count its view as
+// at least as old as the change. The time that updates spend on the way was assumed
+// to be short (found beside inc1).
+func TestAgeCoversTransit(t *testing.T) {
+	withLayout(t, layout{regions: 1, centres: 1, hosts: 20, limited: true, bound: 3 * time.Second}, func(t *testing.T, fleet *fleet) {
+		written := map[uint64]time.Time{}
+		write := func(key, value string) {
+			fleet.store.write(key, value)
+			fleet.store.set(func(store *fakeStore) { written[store.revision] = time.Now() })
+		}
+		var worst time.Duration
+		for step := range 400 {
+			if step%40 == 0 {
+				write("table", largeTable(step+2))
+			}
+			write("endpoints/a", fmt.Sprint("ledger ", step))
+			time.Sleep(50 * time.Millisecond)
+			for name, tracker := range fleet.trackers {
+				lacks, ok := written[tracker.View().Revision()+1]
+				if excess := time.Since(lacks) - tracker.Age(time.Now()); ok && excess > worst {
+					worst = excess
+					t.Errorf("%s lacks a change of %v ago and counts its view as %v newer than that", name, time.Since(lacks), excess)
+				}
+			}
+		}
+	})
+}
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -264,6 +264,7 @@
 	tracker := puller.tracker
 	bound, cancel := context.WithTimeout(ctx, tracker.timing.fetchTimeout())
 	defer cancel()
+	start := time.Now()
 	update, err := tracker.peers.Fetch(bound, host, tracker.revision(), checks)
 	now := time.Now()
 	if err != nil {
@@ -273,7 +274,7 @@
 		}
 		return 0
 	}
-	tracker.applyUpdate(now, update)
+	tracker.applyUpdate(now, update.inTransit(now.Sub(start)))
 	if update.age >= neverAge && tracker.revision() == 0 {
 		tracker.exclude(now, host, exclusionShare) // The seed has no copy; another may.
 		return 0
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -37,6 +37,8 @@
 	age time.Duration
 	// checks is the sending host's count of freshness checks.
 	checks uint64
+	// held is the time for which the sending host held its reply back.
+	held time.Duration
 	// complete is true where items are a complete copy and not changes.
 	complete bool
 	items    []Item
@@ -56,6 +58,23 @@
 // Checks returns the sending host's count of freshness checks.
 func (update Update) Checks() uint64 { return update.checks }
 
+// Held returns the time for which the sending host held its reply back.
+func (update Update) Held() time.Duration { return update.held }
+
+// WithHeld returns a copy with the time for which the reply was held back.
+func (update Update) WithHeld(held time.Duration) Update {
+	update.held = held
+	return update
+}
+
+// inTransit returns a copy of an update that arrived elapsed after it was asked for.
+// Its age covers the time that the request and the reply spent on the way, which is
+// long where the update is large or a link is slow.
+func (update Update) inTransit(elapsed time.Duration) Update {
+	update.age += max(elapsed-update.held, 0)
+	return update
+}
+
 // Complete reports whether the items are a complete copy and not changes.
 func (update Update) Complete() bool { return update.complete }
 
@@ -339,18 +358,14 @@
 	return true
 }
 
-// transitTime is subtracted from the time of a peer's freshness check for the
-// travel time of its reply: 12 ms between regions, the rest for processing.
-const transitTime = 30 * time.Millisecond
-
-// applyUpdate applies a peer's update that arrived at now.
+// applyUpdate applies a peer's update that is as old as its age says at now.
 func (tracker *Tracker) applyUpdate(now time.Time, update Update) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	if update.revision < tracker.replica.revision {
 		return
 	}
-	checkedAt := now.Add(-update.age - transitTime)
+	checkedAt := now.Add(-update.age)
 	afterOutage := tracker.afterOutage(now)
 	if update.revision > tracker.replica.revision {
 		switch {
@@ -374,13 +389,14 @@
 // there is a newer revision or check, but returns before the peer excludes this
 // host as failed.
 func (tracker *Tracker) Serve(ctx context.Context, revision, checks uint64) Update {
-	at, _ := tracker.position(time.Now())
-	timer := time.NewTimer(tracker.timing.holdTime(at, tracker.Age(time.Now())))
+	start := time.Now()
+	at, _ := tracker.position(start)
+	timer := time.NewTimer(tracker.timing.holdTime(at, tracker.Age(start)))
 	defer timer.Stop()
 	for {
 		update, renewed := tracker.update(time.Now(), revision)
 		if update.checks > checks || update.revision > revision {
-			return update
+			return update.WithHeld(time.Since(start))
 		}
 		select {
 		case <-renewed:
@@ -390,7 +406,7 @@
 		}
 		// The age has grown while the reply was held back.
 		update, _ = tracker.update(time.Now(), revision)
-		return update
+		return update.WithHeld(time.Since(start))
 	}
 }
 
