placer: a tier in which no endpoint answers is not fast enough

What callers saw: where no endpoint of the first tier answered, the request went to another region, at 24 ms and billed by the byte, though others in the data centre and the region may have been free.

Cause: the choice among no candidates has an expected run time of 0, which counted as fast enough, so that the other tiers of the region were skipped.

Result: TestSilentTier failed before (6 of 8 endpoints probed) and passes.

--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -225,7 +225,7 @@
 	}
 	best.waitSuccessRate = class.waitSuccessRate
 	best.normalSpeed = best.found && !best.saturated && float64(best.expectedRun) <= normalRunShare*class.normalRun
-	best.fastEnough = float64(best.expectedRun) <= fastEnoughShare*float64(min(max(request.target, 0), request.remaining))
+	best.fastEnough = best.found && float64(best.expectedRun) <= fastEnoughShare*float64(min(max(request.target, 0), request.remaining))
 	return best
 }
 
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -151,6 +151,27 @@
 	}
 }
 
+// TestSilentTier checks that all other endpoints of the region are probed before those
+// of other regions where no endpoint of the first tier answers.
+func TestSilentTier(t *testing.T) {
+	placer := New(here, 1)
+	endpoints := append(testEndpoints(here, "h", 4), testEndpoints(near, "n", 4)...)
+	var probed int
+	choice := Choice{}
+	for _, tier := range placer.Tiers(time.Now(), append(endpoints, testEndpoints(far, "f", 4)...), testRequest()) {
+		if tier.far {
+			break
+		}
+		if tier.Needed(choice) {
+			probed += len(tier.Endpoints())
+		}
+		choice = placer.Choose(time.Now(), nil, testRequest())
+	}
+	if probed != len(endpoints) {
+		t.Errorf("%d endpoints of the region are probed while none answers, want %d", probed, len(endpoints))
+	}
+}
+
 // TestChoiceByLoad checks the choice among endpoints whose slowdown, load and
 // distance differ.
 func TestChoiceByLoad(t *testing.T) {
