permitter: hosts share the limits that endpoints name

What callers saw: endpoints in need got far more requests than they had named as their limit, 44 in 4 s where 16 were allowed.

Cause: nothing read the limit. It is in all answers, those to health checks included, and a host probes an endpoint just before it sends it a request.

Change: the new package permitter decides whether a host may send a request to an endpoint. A limit is shared without messages: a few hosts of the endpoint's data centre, chosen by rendezvous hashing, hold an equal part of it each. The placer chooses among the endpoints that have a permit; those without one are probed again every 2 s, since they may have withdrawn their limits. Where no endpoint of a service has a permit, the request is refused at once as not run.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -12,12 +12,14 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
 	"github.com/chivespool/chivespool/internal/refuser"
 	"github.com/chivespool/chivespool/internal/router"
@@ -66,14 +68,16 @@
 	directory Directory
 	prober    Prober
 	placer    *placer.Placer
+	permitter *permitter.Permitter
 	journal   Journal
 	// probes counts the probes sent.
 	probes atomic.Int64
 }
 
-// New returns an assigner whose choices are made by placer.
-func New(directory Directory, prober Prober, placer *placer.Placer, journal Journal) *Assigner {
-	return &Assigner{directory: directory, prober: prober, placer: placer, journal: journal}
+// New returns an assigner whose choices are made by placer among the endpoints that
+// permitter permits.
+func New(directory Directory, prober Prober, placer *placer.Placer, permitter *permitter.Permitter, journal Journal) *Assigner {
+	return &Assigner{directory: directory, prober: prober, placer: placer, permitter: permitter, journal: journal}
 }
 
 // Probes returns the number of probes sent.
@@ -103,6 +107,9 @@
 		if round > 0 {
 			assigner.placer.RecordWait(placerRequest, choice.HasCapacity())
 		}
+		if verdict == placer.Serve && !assigner.permitter.Take(time.Now(), choice.Endpoint().Name()) {
+			continue // Another request has used the permit since the choice.
+		}
 		if verdict == placer.Serve {
 			assigner.logChoice(request, choice, candidates, time.Since(start))
 			return assigner.slot(choice, candidates, placerRequest), nil
@@ -111,12 +118,26 @@
 			return nil, err
 		}
 		if !choice.Found() {
-			return nil, refuse(refuser.KindUnreachable, fmt.Sprintf("none of %d endpoints of %s answers", len(endpoints), request.Pool()))
+			return nil, assigner.refuseUnserved(request, endpoints, candidates)
 		}
 		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time: "+describe(candidates))
 	}
 }
 
+// refuseUnserved returns the refusal of a request for which no endpoint was found:
+// none answers, or those that do take no more requests now.
+func (assigner *Assigner) refuseUnserved(request router.Request, endpoints []definer.Endpoint, answered []placer.Candidate) error {
+	now := time.Now()
+	if len(answered) == 0 && len(assigner.permitter.Candidates(now, endpoints)) > 0 {
+		return refuse(refuser.KindUnreachable, fmt.Sprintf("none of %d endpoints of %s answers", len(endpoints), request.Pool()))
+	}
+	refusal := refuse(refuser.KindOverloaded, "the endpoints of "+request.Pool()+" take no more requests now: "+describe(answered))
+	if wait, ok := assigner.permitter.NextPermit(now, endpoints); ok {
+		refusal = refusal.WithRetryAfter(wait + refusal.RetryAfter())
+	}
+	return refusal
+}
+
 // ended returns the refusal of a request whose context has ended, or nil.
 func ended(ctx context.Context) error {
 	switch {
@@ -144,16 +165,25 @@
 func (assigner *Assigner) choose(ctx context.Context, endpoints []definer.Endpoint, request placer.Request) (placer.Choice, []placer.Candidate) {
 	var candidates []placer.Candidate
 	var choice placer.Choice
-	for _, tier := range assigner.placer.Tiers(time.Now(), endpoints, request) {
+	start := time.Now()
+	for _, tier := range assigner.placer.Tiers(start, assigner.permitter.Candidates(start, endpoints), request) {
 		if ctx.Err() != nil || !tier.Needed(choice) {
 			break
 		}
 		candidates = append(candidates, assigner.probeTier(ctx, tier.Endpoints())...)
-		choice = assigner.placer.Choose(time.Now(), candidates, request)
+		choice = assigner.placer.Choose(time.Now(), assigner.permitted(candidates), request)
 	}
 	return choice, candidates
 }
 
+// permitted returns the candidates that a request may be sent to.
+func (assigner *Assigner) permitted(candidates []placer.Candidate) []placer.Candidate {
+	now := time.Now()
+	return slices.DeleteFunc(slices.Clone(candidates), func(candidate placer.Candidate) bool {
+		return !assigner.permitter.Permits(now, candidate.Name())
+	})
+}
+
 // logChoice logs a choice with the reports that it is based on.
 func (assigner *Assigner) logChoice(request router.Request, choice placer.Choice, candidates []placer.Candidate, waited time.Duration) {
 	age, revision := assigner.directory.Freshness()
@@ -161,17 +191,20 @@
 		"expected", choice.ExpectedRun(), "asked", describe(candidates), "waited", waited, "belief-age", age, "revision", revision)
 }
 
-// describe lists the load that each endpoint reported, and marks endpoints that
-// reported themselves as unhealthy.
+// describe lists the load that each endpoint reported and the limit that it named, and
+// marks endpoints that reported themselves as unhealthy.
 func describe(candidates []placer.Candidate) string {
 	var text strings.Builder
 	for _, candidate := range candidates {
 		report := candidate.Report()
-		health := ""
+		fmt.Fprintf(&text, "%s:%d+%d/%d@%.2f", candidate.Name(), report.Running(), report.Waiting(), report.Slots(), report.Slowdown())
+		if limit, limited := report.Limit(); limited {
+			fmt.Fprintf(&text, "<%g/s", limit)
+		}
 		if !report.Healthy() {
-			health = "!"
+			text.WriteString("!")
 		}
-		fmt.Fprintf(&text, "%s:%d+%d/%d@%.2f%s ", candidate.Name(), report.Running(), report.Waiting(), report.Slots(), report.Slowdown(), health)
+		text.WriteString(" ")
 	}
 	return strings.TrimSpace(text.String())
 }
@@ -206,6 +239,7 @@
 		probe.assigner.placer.RecordUnreachable(time.Now(), probe.endpoint.Name())
 	} else {
 		probe.assigner.placer.RecordReachable(probe.endpoint.Name())
+		probe.assigner.permitter.Record(time.Now(), probe.endpoint, report)
 	}
 	probe.answers <- answer{candidate: placer.NewCandidate(probe.endpoint, report), err: err}
 }
--- a/internal/definer/report.go
+++ b/internal/definer/report.go
@@ -11,6 +11,10 @@
 	// slowdown is the ratio of the current service time to the usual one; 0
 	// where it is unknown.
 	slowdown float64
+	// limit is the number of requests per second that the endpoint takes from all
+	// hosts together; it applies if limited is true.
+	limit   float64
+	limited bool
 }
 
 // NewReport returns a report. A zero slots or slowdown means unknown.
@@ -34,3 +38,13 @@
 // Slowdown returns the ratio of the current service time to the usual one, or 0
 // where it is unknown.
 func (report Report) Slowdown() float64 { return report.slowdown }
+
+// Limit returns the number of requests per second that the endpoint takes from all
+// hosts together, and whether it named such a limit.
+func (report Report) Limit() (rate float64, limited bool) { return report.limit, report.limited }
+
+// WithLimit returns a copy with a limit of rate requests per second.
+func (report Report) WithLimit(rate float64) Report {
+	report.limit, report.limited = rate, true
+	return report
+}
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -109,7 +109,8 @@
 }
 
 // updateInterval is the time between updates of the parts that depend on the
-// view: the links to peers, the placer's records and the retry budget.
+// view: the links to peers, the records of the placer and the permitter, and the
+// retry budget.
 const updateInterval = 250 * time.Millisecond
 
 // Run updates the parts until ctx is done.
@@ -124,6 +125,8 @@
 		gateway.updatePeers()
 		view := gateway.tracker.View()
 		gateway.placer.Forget(view.Names())
+		gateway.permitter.Forget(view.Names())
+		gateway.permitter.SetHosts(time.Now(), view.Hosts())
 		maxHosts = max(maxHosts, len(view.Hosts()))
 		settings := gateway.current.Load()
 		gateway.dispatcher.SetRetryBudget(budgetShare*settings.RetryShare(), budgetShare*float64(settings.RetrySlack())/float64(maxHosts))
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -41,6 +41,7 @@
 	"github.com/chivespool/chivespool/internal/loader"
 	"github.com/chivespool/chivespool/internal/logger"
 	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
 	"github.com/chivespool/chivespool/internal/recorder"
 	"github.com/chivespool/chivespool/internal/sender"
@@ -82,6 +83,7 @@
 	tracker    *tracker.Tracker
 	enroller   *enroller.Enroller
 	placer     *placer.Placer
+	permitter  *permitter.Permitter
 	sender     *sender.Sender
 	dispatcher *dispatcher.Dispatcher
 	// leaving is true once a planned stop has begun.
@@ -155,7 +157,8 @@
 	gateway.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeaderBytes())
 	gateway.sender.SetDialect(platform.Dialect{})
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
-	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.log)
+	gateway.permitter = permitter.New(gateway.self, gateway.log)
+	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
 	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
 	gateway.dispatcher.SetPlanner(dispatcher.NewRoutePlanner(gateway))
 	gateway.dispatcher.SetLimits(settings.MaxAttempts(), settings.RequestTimeout(), settings.RetryShare())
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -55,7 +55,7 @@
 	byHost := make(map[string]*Home)
 	for place, endpoints := range byPlace {
 		key := pool + "\x00" + place.String()
-		chosen := highest(nearest(live, place), key, homeCount(len(endpoints)))
+		chosen := Owners(live, place, key, homeCount(len(endpoints)))
 		assign(byHost, chosen, endpoints)
 	}
 	homes := make([]Home, 0, len(byHost))
@@ -108,6 +108,12 @@
 	return live
 }
 
+// Owners returns up to count hosts to which something called key at place is
+// assigned: hosts of its data centre, or else of its region, or else any.
+func Owners(hosts []definer.Host, place definer.Place, key string, count int) []definer.Host {
+	return highest(nearest(hosts, place), key, count)
+}
+
 // nearest returns the hosts in place's data centre, or else those in its region,
 // or else all.
 func nearest(hosts []definer.Host, place definer.Place) []definer.Host {
--- /dev/null
+++ b/internal/permitter/permitter.go
@@ -0,0 +1,247 @@
+// Package permitter decides whether a host may send a request to an endpoint now, by
+// what the endpoint states in its answers. Package assigner asks it before each
+// request.
+//
+// An endpoint in trouble may name a limit on the requests that it takes from all hosts
+// together. Hosts share a limit without messages: a few hosts near the endpoint hold a
+// fixed share each, and the others send it nothing. All hosts compute the same holders
+// from the same list of hosts.
+//
+// The package does no I/O, starts no goroutines and reads no clock.
+package permitter
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/locator"
+)
+
+const (
+	// holderRate is the share of a limit, in requests per second, that is worth one
+	// more holder. A holder may send one request at once, so that more holders would
+	// together exceed a low limit.
+	holderRate = 1.0
+	// burstTime is the time whose share a holder may save up.
+	burstTime = time.Second
+	// hostMemory is the time for which a host counts after it was last listed. A
+	// registration may be missing while its host lives, and the others must not take
+	// over its shares until then.
+	hostMemory = 10 * time.Second
+	// recheckInterval is the time after which an endpoint without a permit is probed
+	// again, since it may have withdrawn its limit.
+	recheckInterval = 2 * time.Second
+)
+
+// Journal logs what endpoints state.
+type Journal interface {
+	// Change logs a change of what is known about an endpoint.
+	Change(message string, details ...any)
+}
+
+// Permitter keeps the permits of one host. Make one with New. It is safe for
+// concurrent use.
+type Permitter struct {
+	self    definer.Host
+	journal Journal
+	// mu guards the fields below.
+	mu sync.Mutex
+	// hosts are the hosts that count as holders, ordered by name.
+	hosts []definer.Host
+	// listedAt holds the time at which each host was last listed, by name.
+	listedAt map[string]time.Time
+	// limits holds the limits in force, by the name of the endpoint.
+	limits map[string]*limit
+}
+
+// New returns a permitter of the host self.
+func New(self definer.Host, journal Journal) *Permitter {
+	return &Permitter{self: self, journal: journal, listedAt: make(map[string]time.Time), limits: make(map[string]*limit)}
+}
+
+// limit is the limit that an endpoint named last, and this host's share of it.
+type limit struct {
+	endpoint definer.Endpoint
+	// rate is the limit in requests per second from all hosts.
+	rate float64
+	// statedAt is the time of the endpoint's last answer.
+	statedAt time.Time
+	// share is the part of rate that this host may use; 0 if it is not a holder.
+	share float64
+	// permits is the number of requests that may be sent at countedAt, at most burst.
+	permits   float64
+	countedAt time.Time
+}
+
+// burst returns the largest number of permits.
+func (limit *limit) burst() float64 { return max(1, limit.share*burstTime.Seconds()) }
+
+// refill adds the permits for the time since they were last counted.
+func (limit *limit) refill(now time.Time) {
+	earned := limit.share * now.Sub(limit.countedAt).Seconds()
+	limit.permits = min(limit.permits+max(earned, 0), limit.burst())
+	limit.countedAt = now
+}
+
+// wait returns the time until a request may be sent; false if this host may send none.
+func (limit *limit) wait(now time.Time) (time.Duration, bool) {
+	limit.refill(now)
+	switch {
+	case limit.share <= 0:
+		return 0, false
+	case limit.permits >= 1:
+		return 0, true
+	}
+	return time.Duration(math.Ceil((1 - limit.permits) / limit.share * float64(time.Second))), true
+}
+
+// SetHosts sets the registered entry hosts. Hosts that are no longer listed keep
+// their shares for hostMemory.
+func (permitter *Permitter) SetHosts(now time.Time, hosts []definer.Host) {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	changed := false
+	for _, host := range hosts {
+		_, known := permitter.listedAt[host.Name()]
+		permitter.listedAt[host.Name()] = now
+		if !known {
+			permitter.hosts = append(permitter.hosts, host)
+			changed = true
+		}
+	}
+	count := len(permitter.hosts)
+	permitter.hosts = slices.DeleteFunc(permitter.hosts, func(host definer.Host) bool {
+		if now.Sub(permitter.listedAt[host.Name()]) < hostMemory {
+			return false
+		}
+		delete(permitter.listedAt, host.Name())
+		return true
+	})
+	if !changed && len(permitter.hosts) == count {
+		return
+	}
+	for _, limit := range permitter.limits {
+		limit.refill(now)
+		limit.share = permitter.share(limit.endpoint, limit.rate)
+	}
+}
+
+// share returns the part of a limit of rate requests per second that this host may
+// use; mu is held.
+func (permitter *Permitter) share(endpoint definer.Endpoint, rate float64) float64 {
+	count := max(1, int(math.Ceil(min(rate/holderRate, float64(len(permitter.hosts))))))
+	holders := locator.Owners(permitter.hosts, endpoint.Place(), endpoint.Name(), count)
+	for _, holder := range holders {
+		if holder.Name() == permitter.self.Name() {
+			return rate / float64(len(holders))
+		}
+	}
+	return 0
+}
+
+// Record records the report in an answer of endpoint.
+func (permitter *Permitter) Record(now time.Time, endpoint definer.Endpoint, report definer.Report) {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	name := endpoint.Name()
+	rate, limited := report.Limit()
+	known, ok := permitter.limits[name]
+	if !limited {
+		if ok {
+			permitter.journal.Change("endpoint has withdrawn its limit", "name", name, "service", endpoint.Pool(), "limit", known.rate)
+			delete(permitter.limits, name)
+		}
+		return
+	}
+	if !ok {
+		known = &limit{endpoint: endpoint, rate: -1, permits: 1, countedAt: now}
+		permitter.limits[name] = known
+	}
+	known.statedAt = now
+	if known.rate != rate {
+		known.refill(now)
+		known.rate, known.share = rate, permitter.share(endpoint, rate)
+		permitter.journal.Change("endpoint named a limit", "name", name, "service", endpoint.Pool(), "limit", rate, "share", known.share)
+	}
+}
+
+// Candidates returns the endpoints that are worth probing: those that a request may
+// be sent to, and those whose last answer is too old to tell.
+func (permitter *Permitter) Candidates(now time.Time, endpoints []definer.Endpoint) []definer.Endpoint {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	if len(permitter.limits) == 0 {
+		return endpoints
+	}
+	candidates := make([]definer.Endpoint, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		limit, ok := permitter.limits[endpoint.Name()]
+		if !ok || now.Sub(limit.statedAt) >= recheckInterval || permitter.permits(now, endpoint.Name()) {
+			candidates = append(candidates, endpoint)
+		}
+	}
+	return candidates
+}
+
+// Permits reports whether a request may be sent to the endpoint called name.
+func (permitter *Permitter) Permits(now time.Time, name string) bool {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	return permitter.permits(now, name)
+}
+
+// permits is Permits where the caller holds mu.
+func (permitter *Permitter) permits(now time.Time, name string) bool {
+	limit, ok := permitter.limits[name]
+	if !ok {
+		return true
+	}
+	wait, ok := limit.wait(now)
+	return ok && wait == 0
+}
+
+// Take uses a permit for one request to the endpoint called name. It returns false if
+// there is none.
+func (permitter *Permitter) Take(now time.Time, name string) bool {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	if !permitter.permits(now, name) {
+		return false
+	}
+	if limit, ok := permitter.limits[name]; ok {
+		limit.permits--
+	}
+	return true
+}
+
+// NextPermit returns the time until a request may be sent to one of endpoints; false
+// if this host may send none of them any.
+func (permitter *Permitter) NextPermit(now time.Time, endpoints []definer.Endpoint) (time.Duration, bool) {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	next, found := time.Duration(0), false
+	for _, endpoint := range endpoints {
+		limit, ok := permitter.limits[endpoint.Name()]
+		if !ok {
+			return 0, true
+		}
+		if wait, ok := limit.wait(now); ok && (!found || wait < next) {
+			next, found = wait, true
+		}
+	}
+	return next, found
+}
+
+// Forget drops what is known about endpoints that are not in known.
+func (permitter *Permitter) Forget(known map[string]bool) {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	for name := range permitter.limits {
+		if !known[name] {
+			delete(permitter.limits, name)
+		}
+	}
+}
