permitter: endpoints that say that they leave get no more requests

Change: the sender passes what the head of each answer states, to requests and to health checks, to an observer; the permitter is that observer. An endpoint that leaves gets no more requests until another process starts under its name: an answer that was on its way may not say so yet. A limit that is named in every other answer gives no new permits.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -107,7 +107,7 @@
 		if round > 0 {
 			assigner.placer.RecordWait(placerRequest, choice.HasCapacity())
 		}
-		if verdict == placer.Serve && !assigner.permitter.Take(time.Now(), choice.Endpoint().Name()) {
+		if verdict == placer.Serve && !assigner.permitter.Take(time.Now(), choice.Endpoint()) {
 			continue // Another request has used the permit since the choice.
 		}
 		if verdict == placer.Serve {
@@ -180,7 +180,7 @@
 func (assigner *Assigner) permitted(candidates []placer.Candidate) []placer.Candidate {
 	now := time.Now()
 	return slices.DeleteFunc(slices.Clone(candidates), func(candidate placer.Candidate) bool {
-		return !assigner.permitter.Permits(now, candidate.Name())
+		return !assigner.permitter.Permits(now, candidate.Endpoint())
 	})
 }
 
@@ -239,7 +239,6 @@
 		probe.assigner.placer.RecordUnreachable(time.Now(), probe.endpoint.Name())
 	} else {
 		probe.assigner.placer.RecordReachable(probe.endpoint.Name())
-		probe.assigner.permitter.Record(time.Now(), probe.endpoint, report)
 	}
 	probe.answers <- answer{candidate: placer.NewCandidate(probe.endpoint, report), err: err}
 }
--- a/internal/definer/report.go
+++ b/internal/definer/report.go
@@ -15,6 +15,8 @@
 	// hosts together; it applies if limited is true.
 	limit   float64
 	limited bool
+	// leaving is true where the endpoint states that it leaves.
+	leaving bool
 }
 
 // NewReport returns a report. A zero slots or slowdown means unknown.
@@ -48,3 +50,12 @@
 	report.limit, report.limited = rate, true
 	return report
 }
+
+// Leaving reports whether the endpoint states that it leaves.
+func (report Report) Leaving() bool { return report.leaving }
+
+// WithLeaving returns a copy with leaving set.
+func (report Report) WithLeaving(leaving bool) Report {
+	report.leaving = leaving
+	return report
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -158,6 +158,7 @@
 	gateway.sender.SetDialect(platform.Dialect{})
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
+	gateway.sender.SetObserver(gateway.permitter)
 	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
 	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
 	gateway.dispatcher.SetPlanner(dispatcher.NewRoutePlanner(gateway))
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -2,6 +2,7 @@
 // what the endpoint states in its answers. Package assigner asks it before each
 // request.
 //
+// An endpoint that leaves gets no more requests, although the store may still list it.
 // An endpoint in trouble may name a limit on the requests that it takes from all hosts
 // together. Hosts share a limit without messages: a few hosts near the endpoint hold a
 // fixed share each, and the others send it nothing. All hosts compute the same holders
@@ -53,22 +54,33 @@
 	hosts []definer.Host
 	// listedAt holds the time at which each host was last listed, by name.
 	listedAt map[string]time.Time
-	// limits holds the limits in force, by the name of the endpoint.
-	limits map[string]*limit
+	// records holds what is known about endpoints, by name.
+	records map[string]*record
 }
 
 // New returns a permitter of the host self.
 func New(self definer.Host, journal Journal) *Permitter {
-	return &Permitter{self: self, journal: journal, listedAt: make(map[string]time.Time), limits: make(map[string]*limit)}
+	return &Permitter{self: self, journal: journal, listedAt: make(map[string]time.Time), records: make(map[string]*record)}
 }
 
-// limit is the limit that an endpoint named last, and this host's share of it.
-type limit struct {
+// record is what an endpoint stated about itself.
+type record struct {
 	endpoint definer.Endpoint
-	// rate is the limit in requests per second from all hosts.
-	rate float64
+	// leaving is true once the endpoint has stated that it leaves. It stays true until
+	// another process of the endpoint starts, since answers may overtake each other.
+	leaving bool
 	// statedAt is the time of the endpoint's last answer.
 	statedAt time.Time
+	// limited is true while the limit is in force. A limit that was withdrawn is kept,
+	// so that naming it again gives no new permits.
+	limited bool
+	limit   limit
+}
+
+// limit is a limit that an endpoint named, and this host's share of it.
+type limit struct {
+	// rate is the limit in requests per second from all hosts.
+	rate float64
 	// share is the part of rate that this host may use; 0 if it is not a holder.
 	share float64
 	// permits is the number of requests that may be sent at countedAt, at most burst.
@@ -87,9 +99,14 @@
 }
 
 // wait returns the time until a request may be sent; false if this host may send none.
-func (limit *limit) wait(now time.Time) (time.Duration, bool) {
+func (record *record) wait(now time.Time) (time.Duration, bool) {
+	limit := &record.limit
 	limit.refill(now)
 	switch {
+	case record.leaving:
+		return 0, false
+	case !record.limited:
+		return 0, true
 	case limit.share <= 0:
 		return 0, false
 	case limit.permits >= 1:
@@ -123,9 +140,9 @@
 	if !changed && len(permitter.hosts) == count {
 		return
 	}
-	for _, limit := range permitter.limits {
-		limit.refill(now)
-		limit.share = permitter.share(limit.endpoint, limit.rate)
+	for _, record := range permitter.records {
+		record.limit.refill(now)
+		record.limit.share = permitter.share(record.endpoint, record.limit.rate)
 	}
 }
 
@@ -142,29 +159,36 @@
 	return 0
 }
 
-// Record records the report in an answer of endpoint.
+// Record records the report in an answer of endpoint to a request or to a health check.
 func (permitter *Permitter) Record(now time.Time, endpoint definer.Endpoint, report definer.Report) {
 	permitter.mu.Lock()
 	defer permitter.mu.Unlock()
-	name := endpoint.Name()
 	rate, limited := report.Limit()
-	known, ok := permitter.limits[name]
-	if !limited {
-		if ok {
-			permitter.journal.Change("endpoint has withdrawn its limit", "name", name, "service", endpoint.Pool(), "limit", known.rate)
-			delete(permitter.limits, name)
-		}
+	known, ok := permitter.records[endpoint.Name()]
+	if ok && known.endpoint.StartedAt() != endpoint.StartedAt() {
+		delete(permitter.records, endpoint.Name())
+		ok = false
+	}
+	if !ok && !limited && !report.Leaving() {
 		return
 	}
 	if !ok {
-		known = &limit{endpoint: endpoint, rate: -1, permits: 1, countedAt: now}
-		permitter.limits[name] = known
+		known = &record{endpoint: endpoint, limit: limit{permits: 1, countedAt: now}}
+		permitter.records[endpoint.Name()] = known
 	}
 	known.statedAt = now
-	if known.rate != rate {
-		known.refill(now)
-		known.rate, known.share = rate, permitter.share(endpoint, rate)
-		permitter.journal.Change("endpoint named a limit", "name", name, "service", endpoint.Pool(), "limit", rate, "share", known.share)
+	if report.Leaving() && !known.leaving {
+		known.leaving = true
+		permitter.journal.Change("endpoint says that it leaves", "name", endpoint.Name(), "service", endpoint.Pool())
+	}
+	if limited && rate != known.limit.rate {
+		known.limit.refill(now)
+		known.limit.rate, known.limit.share = rate, permitter.share(endpoint, rate)
+	}
+	if limited != known.limited {
+		known.limited = limited
+		permitter.journal.Change("endpoint named or withdrew a limit", "name", endpoint.Name(), "service", endpoint.Pool(),
+			"limited", limited, "limit", known.limit.rate, "share", known.limit.share)
 	}
 }
 
@@ -173,46 +197,55 @@
 func (permitter *Permitter) Candidates(now time.Time, endpoints []definer.Endpoint) []definer.Endpoint {
 	permitter.mu.Lock()
 	defer permitter.mu.Unlock()
-	if len(permitter.limits) == 0 {
+	if len(permitter.records) == 0 {
 		return endpoints
 	}
 	candidates := make([]definer.Endpoint, 0, len(endpoints))
 	for _, endpoint := range endpoints {
-		limit, ok := permitter.limits[endpoint.Name()]
-		if !ok || now.Sub(limit.statedAt) >= recheckInterval || permitter.permits(now, endpoint.Name()) {
+		if wait, ok := permitter.wait(now, endpoint); ok && wait == 0 || permitter.isStale(now, endpoint) {
 			candidates = append(candidates, endpoint)
 		}
 	}
 	return candidates
 }
 
-// Permits reports whether a request may be sent to the endpoint called name.
-func (permitter *Permitter) Permits(now time.Time, name string) bool {
-	permitter.mu.Lock()
-	defer permitter.mu.Unlock()
-	return permitter.permits(now, name)
+// isStale reports whether an endpoint's last answer is too old to tell what holds now;
+// mu is held.
+func (permitter *Permitter) isStale(now time.Time, endpoint definer.Endpoint) bool {
+	record, ok := permitter.records[endpoint.Name()]
+	if !ok || record.endpoint.StartedAt() != endpoint.StartedAt() {
+		return true
+	}
+	return !record.leaving && now.Sub(record.statedAt) >= recheckInterval
 }
 
-// permits is Permits where the caller holds mu.
-func (permitter *Permitter) permits(now time.Time, name string) bool {
-	limit, ok := permitter.limits[name]
-	if !ok {
-		return true
+// wait returns the time until a request may be sent to endpoint; false if this host may
+// send it none. The caller holds mu.
+func (permitter *Permitter) wait(now time.Time, endpoint definer.Endpoint) (time.Duration, bool) {
+	record, ok := permitter.records[endpoint.Name()]
+	if !ok || record.endpoint.StartedAt() != endpoint.StartedAt() {
+		return 0, true
 	}
-	wait, ok := limit.wait(now)
+	return record.wait(now)
+}
+
+// Permits reports whether a request may be sent to endpoint.
+func (permitter *Permitter) Permits(now time.Time, endpoint definer.Endpoint) bool {
+	permitter.mu.Lock()
+	defer permitter.mu.Unlock()
+	wait, ok := permitter.wait(now, endpoint)
 	return ok && wait == 0
 }
 
-// Take uses a permit for one request to the endpoint called name. It returns false if
-// there is none.
-func (permitter *Permitter) Take(now time.Time, name string) bool {
+// Take uses a permit for one request to endpoint. It returns false if there is none.
+func (permitter *Permitter) Take(now time.Time, endpoint definer.Endpoint) bool {
 	permitter.mu.Lock()
 	defer permitter.mu.Unlock()
-	if !permitter.permits(now, name) {
+	if wait, ok := permitter.wait(now, endpoint); !ok || wait > 0 {
 		return false
 	}
-	if limit, ok := permitter.limits[name]; ok {
-		limit.permits--
+	if record, ok := permitter.records[endpoint.Name()]; ok && record.limited {
+		record.limit.permits--
 	}
 	return true
 }
@@ -224,11 +257,7 @@
 	defer permitter.mu.Unlock()
 	next, found := time.Duration(0), false
 	for _, endpoint := range endpoints {
-		limit, ok := permitter.limits[endpoint.Name()]
-		if !ok {
-			return 0, true
-		}
-		if wait, ok := limit.wait(now); ok && (!found || wait < next) {
+		if wait, ok := permitter.wait(now, endpoint); ok && (!found || wait < next) {
 			next, found = wait, true
 		}
 	}
@@ -239,9 +268,9 @@
 func (permitter *Permitter) Forget(known map[string]bool) {
 	permitter.mu.Lock()
 	defer permitter.mu.Unlock()
-	for name := range permitter.limits {
+	for name := range permitter.records {
 		if !known[name] {
-			delete(permitter.limits, name)
+			delete(permitter.records, name)
 		}
 	}
 }
--- a/internal/permitter/permitter_test.go
+++ b/internal/permitter/permitter_test.go
@@ -73,7 +73,7 @@
 	for _, index := range fleet.random.Perm(len(fleet.hosts)) {
 		permitter := fleet.permitters[fleet.hosts[index].Name()]
 		permitter.Record(fleet.now, endpoint, report)
-		if !fleet.idle && permitter.Take(fleet.now, endpoint.Name()) {
+		if !fleet.idle && permitter.Take(fleet.now, endpoint) {
 			fleet.sent[endpoint.Name()] = append(fleet.sent[endpoint.Name()], fleet.now)
 		}
 	}
@@ -172,7 +172,7 @@
 	endpoints, permitter := endpoints(1, 1), fleet.permitters["host-0-0"]
 	free := definer.NewReport(true, 0, 0, 4, 1)
 	permitter.Record(fleet.now, endpoints[0], free.WithLimit(0.01))
-	if !permitter.Take(fleet.now, "i-0") || permitter.Take(fleet.now, "i-0") {
+	if !permitter.Take(fleet.now, endpoints[0]) || permitter.Take(fleet.now, endpoints[0]) {
 		t.Fatal("the limit permits other than one request")
 	}
 	if got := permitter.Candidates(fleet.now, endpoints); len(got) > 0 {
@@ -186,8 +186,44 @@
 	}
 	permitter.Record(fleet.now, endpoints[0], free)
 	for range 100 {
-		if !permitter.Take(fleet.now, "i-0") {
+		if !permitter.Take(fleet.now, endpoints[0]) {
 			t.Fatal("the endpoint has withdrawn its limit and gets no requests")
 		}
 	}
 }
+
+// TestLimitNamedAgain checks that an endpoint that names its limit in every other answer
+// gets no permits by that.
+func TestLimitNamedAgain(t *testing.T) {
+	fleet := newFleet(1, 1, 1)
+	endpoint, permitter := endpoints(1, 1)[0], fleet.permitters["host-0-0"]
+	report, taken := definer.NewReport(true, 0, 0, 4, 1), 0
+	for range 20 {
+		permitter.Record(fleet.now, endpoint, report)
+		permitter.Record(fleet.now, endpoint, report.WithLimit(1))
+		if permitter.Take(fleet.now, endpoint) {
+			taken++
+		}
+	}
+	if taken != 1 {
+		t.Errorf("%d requests are permitted at once under a limit of 1 a second, want 1", taken)
+	}
+}
+
+// TestLeavingEndpoint checks that an endpoint that leaves gets no requests, even if a
+// later answer does not say so, and that another process under its name does.
+func TestLeavingEndpoint(t *testing.T) {
+	fleet := newFleet(1, 1, 1)
+	endpoint, permitter := endpoints(1, 1)[0], fleet.permitters["host-0-0"]
+	report := definer.NewReport(true, 0, 0, 4, 1)
+	permitter.Record(fleet.now, endpoint, report.WithLeaving(true))
+	permitter.Record(fleet.now, endpoint, report)
+	later := fleet.now.Add(time.Hour)
+	if permitter.Take(later, endpoint) || len(permitter.Candidates(later, []definer.Endpoint{endpoint})) > 0 {
+		t.Error("an endpoint that leaves is used")
+	}
+	restarted := endpoint.WithStartedAt(1)
+	if len(permitter.Candidates(later, []definer.Endpoint{restarted})) == 0 || !permitter.Take(later, restarted) {
+		t.Error("another process of an endpoint that has left is not used")
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -327,6 +327,9 @@
 	return ok && now.Before(record.ejectedUntil)
 }
 
+// Endpoint returns the endpoint.
+func (candidate Candidate) Endpoint() definer.Endpoint { return candidate.endpoint }
+
 // Name returns the name of the endpoint.
 func (candidate Candidate) Name() string { return candidate.endpoint.Name() }
 
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -45,6 +45,7 @@
 type Sender struct {
 	dialer    net.Dialer
 	dialect   Dialect
+	observer  Observer
 	headBytes int
 	// freshness is the longest idle time after which a pooled connection carries
 	// an at-most-once request without a health check.
@@ -55,9 +56,28 @@
 // New returns a sender that abandons a connection attempt after connectTimeout
 // and rejects a response whose head exceeds headBytes bytes.
 func New(connectTimeout time.Duration, headBytes int) *Sender {
-	return &Sender{dialer: dialer.New(connectTimeout), dialect: Plain{}, headBytes: headBytes, freshness: defaultFreshness}
+	return &Sender{
+		dialer: dialer.New(connectTimeout), dialect: Plain{}, observer: discardObserver{},
+		headBytes: headBytes, freshness: defaultFreshness,
+	}
+}
+
+// Observer learns what endpoints state about themselves.
+type Observer interface {
+	// Record records the report in the head of an answer of endpoint to a request or to a
+	// health check.
+	Record(now time.Time, endpoint definer.Endpoint, report definer.Report)
 }
 
+// discardObserver is the default observer.
+type discardObserver struct{}
+
+// Record does nothing.
+func (discardObserver) Record(time.Time, definer.Endpoint, definer.Report) {}
+
+// SetObserver sets the observer of what endpoints state. Call it before the first use.
+func (sender *Sender) SetObserver(observer Observer) { sender.observer = observer }
+
 // SetDialect replaces the default dialect, [Plain].
 func (sender *Sender) SetDialect(dialect Dialect) { sender.dialect = dialect }
 
@@ -124,6 +144,8 @@
 		return exchange.answer(response), nil
 	case Invalid:
 		return nil, dispatcher.NewFailure(dispatcher.Malformed, true, errors.New("the answer can't be the endpoint's"))
+	case Refused, Draining:
+		exchange.sender.observer.Record(time.Now(), exchange.endpoint, exchange.sender.dialect.Report(response.Header))
 	}
 	return nil, exchange.rejected(response, verdict)
 }
@@ -194,6 +216,7 @@
 
 func (exchange *exchange) answer(response *http.Response) *dispatcher.Answer {
 	report := exchange.sender.dialect.Report(response.Header)
+	exchange.sender.observer.Record(time.Now(), exchange.endpoint, report)
 	header := response.Header
 	stripHopByHop(header)
 	header.Del("Content-Length")
@@ -322,6 +345,7 @@
 	if !ok {
 		return definer.Report{}, errors.New("received another response instead of the health check's")
 	}
+	sender.observer.Record(time.Now(), endpoint, report)
 	count, err := io.CopyN(io.Discard, response.Body, maxDiscardBytes)
 	if err != io.EOF || count >= maxDiscardBytes || !delimited(response) || !stop() {
 		return definer.Report{}, errors.New("the response to the health check was truncated or too long")
