--- a/internal/definer/report.go
+++ b/internal/definer/report.go
@@ -1,5 +1,7 @@
 package definer
 
+import "time"
+
 // Report is an endpoint's report of its own load.
 type Report struct {
 	// healthy is true where the endpoint accepts work.
@@ -17,6 +19,9 @@
 	limited bool
 	// leaving is true where the endpoint states that it leaves.
 	leaving bool
+	// retryAfter is the time for which the endpoint wants no requests from this host; 0
+	// for none.
+	retryAfter time.Duration
 }
 
 // NewReport returns a report. A zero slots or slowdown means unknown.
@@ -59,3 +64,14 @@
 	report.leaving = leaving
 	return report
 }
+
+// RetryAfter returns the time for which the endpoint wants no requests from this host, or
+// 0.
+func (report Report) RetryAfter() time.Duration { return report.retryAfter }
+
+// WithRetryAfter returns a copy of the report of an endpoint that wants no requests from
+// this host for a time.
+func (report Report) WithRetryAfter(retryAfter time.Duration) Report {
+	report.retryAfter = retryAfter
+	return report
+}
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -2,7 +2,8 @@
 // what the endpoint states in its answers. Package assigner asks it before each
 // request.
 //
-// An endpoint that leaves gets no more requests, although the store may still list it.
+// An endpoint that leaves gets no more requests, although the store may still list it;
+// one that names a time when it turns a request away gets none until then.
 // An endpoint in trouble may name a limit on the requests that it takes from all hosts
 // together. Hosts share a limit without messages: a few hosts near the endpoint hold a
 // fixed share each, and the others send it nothing. All hosts compute the same holders
@@ -69,6 +70,8 @@
 	// leaving is true once the endpoint has stated that it leaves. It stays true until
 	// another process of the endpoint starts, since answers may overtake each other.
 	leaving bool
+	// blockedUntil is the end of the time for which the endpoint wants no requests.
+	blockedUntil time.Time
 	// statedAt is the time of the endpoint's last answer.
 	statedAt time.Time
 	// limited is true while the limit is in force. A limit that was withdrawn is kept,
@@ -103,16 +106,17 @@
 	limit := &record.limit
 	limit.refill(now)
 	switch {
-	case record.leaving:
+	case record.leaving, record.limited && limit.share <= 0:
 		return 0, false
-	case !record.limited:
-		return 0, true
-	case limit.share <= 0:
-		return 0, false
-	case limit.permits >= 1:
-		return 0, true
+	case !record.limited || limit.permits >= 1:
+		return record.blocked(now), true
 	}
-	return time.Duration(math.Ceil((1 - limit.permits) / limit.share * float64(time.Second))), true
+	return max(record.blocked(now), time.Duration(math.Ceil((1-limit.permits)/limit.share*float64(time.Second)))), true
+}
+
+// blocked returns the rest of the time for which the endpoint wants no requests.
+func (record *record) blocked(now time.Time) time.Duration {
+	return max(record.blockedUntil.Sub(now), 0)
 }
 
 // SetHosts sets the registered entry hosts. Hosts that are no longer listed keep
@@ -169,7 +173,7 @@
 		delete(permitter.records, endpoint.Name())
 		ok = false
 	}
-	if !ok && !limited && !report.Leaving() {
+	if !ok && !limited && !report.Leaving() && report.RetryAfter() == 0 {
 		return
 	}
 	if !ok {
@@ -181,6 +185,11 @@
 		known.leaving = true
 		permitter.journal.Change("endpoint says that it leaves", "name", endpoint.Name(), "service", endpoint.Pool())
 	}
+	if until := now.Add(report.RetryAfter()); report.RetryAfter() > 0 && until.After(known.blockedUntil) {
+		known.blockedUntil = until
+		permitter.journal.Change("endpoint wants no requests for a time", "name", endpoint.Name(), "service", endpoint.Pool(),
+			"retry-after", report.RetryAfter())
+	}
 	if limited && rate != known.limit.rate {
 		known.limit.refill(now)
 		known.limit.rate, known.limit.share = rate, permitter.share(endpoint, rate)
@@ -216,7 +225,7 @@
 	if !ok || record.endpoint.StartedAt() != endpoint.StartedAt() {
 		return true
 	}
-	return !record.leaving && now.Sub(record.statedAt) >= recheckInterval
+	return !record.leaving && record.blocked(now) == 0 && now.Sub(record.statedAt) >= recheckInterval
 }
 
 // wait returns the time until a request may be sent to endpoint; false if this host may
--- a/internal/sender/dialect.go
+++ b/internal/sender/dialect.go
@@ -38,8 +38,8 @@
 	SetHeaders(header http.Header, endpoint definer.Endpoint, request *dispatcher.Request, left time.Duration)
 	// Classify returns the verdict on the response to request, judged by its head.
 	Classify(response *http.Response, request *dispatcher.Request) Verdict
-	// Report returns the load and the drain state from a response's header.
-	Report(header http.Header) definer.Report
+	// Report returns what an endpoint states about itself in the head of a response.
+	Report(response *http.Response) definer.Report
 	// Health returns the report from the response to a health check of endpoint,
 	// or false if the response is not the endpoint's.
 	Health(response *http.Response, endpoint definer.Endpoint) (definer.Report, bool)
@@ -86,15 +86,15 @@
 }
 
 // Report parses the load report and the drain state.
-func (Plain) Report(header http.Header) definer.Report {
-	inFlight, slots := parseLoad(header.Get(HeaderLoad))
-	return definer.NewReport(!draining(header), inFlight, 0, slots, 0)
+func (Plain) Report(response *http.Response) definer.Report {
+	inFlight, slots := parseLoad(response.Header.Get(HeaderLoad))
+	return definer.NewReport(!draining(response.Header), inFlight, 0, slots, 0)
 }
 
 // Health reports the endpoint as healthy if the status is 200 and it is not
 // draining.
 func (plain Plain) Health(response *http.Response, _ definer.Endpoint) (definer.Report, bool) {
-	report := plain.Report(response.Header)
+	report := plain.Report(response)
 	healthy := report.Healthy() && response.StatusCode == http.StatusOK
 	return definer.NewReport(healthy, report.Running(), 0, report.Slots(), 0), true
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -145,7 +145,7 @@
 	case Invalid:
 		return nil, dispatcher.NewFailure(dispatcher.Malformed, true, errors.New("the answer can't be the endpoint's"))
 	case Refused, Draining:
-		exchange.sender.observer.Record(time.Now(), exchange.endpoint, exchange.sender.dialect.Report(response.Header))
+		exchange.sender.observer.Record(time.Now(), exchange.endpoint, exchange.sender.dialect.Report(response))
 	}
 	return nil, exchange.rejected(response, verdict)
 }
@@ -215,7 +215,7 @@
 }
 
 func (exchange *exchange) answer(response *http.Response) *dispatcher.Answer {
-	report := exchange.sender.dialect.Report(response.Header)
+	report := exchange.sender.dialect.Report(response)
 	exchange.sender.observer.Record(time.Now(), exchange.endpoint, report)
 	header := response.Header
 	stripHopByHop(header)
