sender: idle connections that receive bytes are closed

TestEndlessHead (13 kinds) and TestEndlessBody pass on the code as it was: heads, chunk sizes, trailers, refusals and answers of other requests are bounded, and a body ends at the deadline of its request. TestBytesAfterAnswer failed: bytes that follow a complete answer after the connection has gone back to the pool stayed in memory until it expired.

Result: TestBytesAfterAnswer failed before ('the connection to the endpoint stays open') and passes.

--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -11,7 +11,7 @@
 const (
 	// maxIdlePerEndpoint limits the idle connections to one endpoint.
 	maxIdlePerEndpoint = 8
-	// sweepInterval is how often expired connections are closed.
+	// sweepInterval is how often connections that can't be reused are closed.
 	sweepInterval = time.Second
 )
 
@@ -68,27 +68,29 @@
 	}
 }
 
-// Run closes expired connections until ctx is done.
+// Run closes connections that can't be reused until ctx is done.
 func (idlePool *idlePool) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			idlePool.closeExpired(now)
+			idlePool.sweep(now)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-func (idlePool *idlePool) closeExpired(now time.Time) {
+// sweep closes connections that have expired or can't be reused: one that receives bytes
+// while it is idle would hold them in memory.
+func (idlePool *idlePool) sweep(now time.Time) {
 	idlePool.mu.Lock()
 	defer idlePool.mu.Unlock()
 	for key, list := range idlePool.idle {
 		kept := list[:0]
 		for _, connection := range list {
-			if connection.expired(now) {
+			if connection.expired(now) || !connection.reusable() {
 				_ = connection.Close()
 				continue
 			}
