tracker: endpoints' changes are read beside a large reply of the store

Change: where the reply with all changes takes over 0.3 s, the changes of endpoints alone are read as well, and those that leave are taken out of use; the copy of the store stays as it is.

--- a/internal/tracker/builder.go
+++ b/internal/tracker/builder.go
@@ -23,6 +23,9 @@
 	hosts         map[string]decoded[definer.Host]
 	// graceUntil holds the end of the grace period of lapsed endpoints, by name.
 	graceUntil map[string]time.Time
+	// leftAt holds the revisions of changes by which endpoints leave, by name, as far as
+	// they are after the replica's revision.
+	leftAt map[string]uint64
 }
 
 // decoded is a decoded value with the revision of its item.
@@ -51,6 +54,7 @@
 		builder.hosts = make(map[string]decoded[definer.Host])
 		builder.graceUntil = make(map[string]time.Time)
 	}
+	maps.DeleteFunc(builder.leftAt, func(_ string, revision uint64) bool { return revision <= replica.revision })
 	builder.decodeTable(replica)
 	builder.removeMissing(now, replica, afterOutage)
 	for key, item := range replica.items {
@@ -155,7 +159,8 @@
 		endpoint := builder.endpoints[name]
 		service := endpoint.value.Pool()
 		path, known := builder.table.HealthPath(service)
-		if endpoint.usable && !endpoint.value.Drained() && known {
+		_, left := builder.leftAt[name]
+		if endpoint.usable && !endpoint.value.Drained() && !left && known {
 			view.endpoints[service] = append(view.endpoints[service], endpoint.value.WithHealthPath(path))
 		}
 	}
@@ -168,5 +173,26 @@
 	return view
 }
 
+// recordLeft records which endpoints leave by changes after the replica's revision: their
+// entries are removed, are marked as draining or can't be decoded.
+func (builder *builder) recordLeft(changes []Item) {
+	if builder.leftAt == nil {
+		builder.leftAt = make(map[string]uint64)
+	}
+	for _, change := range changes {
+		name, ok := strings.CutPrefix(change.key, builder.keys.endpoints)
+		if !ok {
+			continue
+		}
+		endpoint, err := builder.decoder.Endpoint(name, change.value)
+		if change.removed || err != nil || endpoint.Drained() {
+			builder.leftAt[name] = change.revision
+			builder.journal.Change("endpoint leaves, known before the rest of the changes", "name", name, "revision", change.revision)
+		} else {
+			delete(builder.leftAt, name)
+		}
+	}
+}
+
 // hasLapsedEndpoints reports whether an endpoint is in its grace period.
 func (builder *builder) hasLapsedEndpoints() bool { return len(builder.graceUntil) > 0 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -261,7 +261,9 @@
 // the changes are incomplete.
 func (tracker *Tracker) catchUp(ctx context.Context, start time.Time, known, revision uint64) error {
 	for {
+		early := tracker.startEarly(ctx, known)
 		changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait, changesLimit)
+		early.Close()
 		if err != nil || upTo <= known || !tracker.applyChanges(start, changes, upTo, revision) {
 			tracker.journal.Change("store changes incomplete; reading the whole store", "after", known, "to", upTo,
 				"revision", revision, "told", len(changes), "error", err)
