--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -1,6 +1,6 @@
 // Package assigner assigns each request to an endpoint, for package dispatcher:
 // it probes the endpoints that package placer selects, all of a tier at once, and
-// returns the one that placer chooses.
+// returns the one that placer chooses among those that package permitter permits.
 //
 // Where endpoints have home hosts, package router is used instead. The package
 // reads the clock and starts a goroutine for each probe; the network calls are
@@ -131,7 +131,7 @@
 	if len(answered) == 0 && len(assigner.permitter.Candidates(now, endpoints)) > 0 {
 		return refuse(refuser.KindUnreachable, fmt.Sprintf("none of %d endpoints of %s answers", len(endpoints), request.Pool()))
 	}
-	refusal := refuse(refuser.KindOverloaded, "the endpoints of "+request.Pool()+" take no more requests now: "+describe(answered))
+	refusal := refuse(refuser.KindOverloaded, "the endpoints of "+request.Pool()+" take no more requests now; probed: "+describe(answered))
 	if wait, ok := assigner.permitter.NextPermit(now, endpoints); ok {
 		refusal = refusal.WithRetryAfter(wait + refusal.RetryAfter())
 	}
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -2,8 +2,9 @@
 // what the endpoint states in its answers. Package assigner asks it before each
 // request.
 //
-// An endpoint that leaves gets no more requests, although the store may still list it;
-// one that names a time when it turns a request away gets none until then.
+// An endpoint that leaves gets no more requests, although the store may still list it.
+// One that names a time when it turns a request away gets none until then.
+//
 // An endpoint in trouble may name a limit on the requests that it takes from all hosts
 // together. Hosts share a limit without messages: a few hosts near the endpoint hold a
 // fixed share each, and the others send it nothing. All hosts compute the same holders
@@ -51,7 +52,7 @@
 	journal Journal
 	// mu guards the fields below.
 	mu sync.Mutex
-	// hosts are the hosts that count as holders, ordered by name.
+	// hosts are the hosts among which holders are chosen, each once.
 	hosts []definer.Host
 	// listedAt holds the time at which each host was last listed, by name.
 	listedAt map[string]time.Time
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -30,57 +30,6 @@
 	Fetch(ctx context.Context, host string, revision, checks uint64) (Update, error)
 }
 
-// Update brings a copy of the store from one revision to a later one.
-type Update struct {
-	revision uint64
-	// age is the time since the store was last known to be at revision.
-	age time.Duration
-	// checks is the sending host's count of freshness checks.
-	checks uint64
-	// held is the time for which the sending host held its reply back.
-	held time.Duration
-	// complete is true where items are a complete copy and not changes.
-	complete bool
-	items    []Item
-}
-
-// NewUpdate returns an update from a host whose last freshness check is age old.
-func NewUpdate(revision uint64, age time.Duration, checks uint64, complete bool, items []Item) Update {
-	return Update{revision: revision, age: age, checks: checks, complete: complete, items: items}
-}
-
-// Revision returns the revision that the update leads to.
-func (update Update) Revision() uint64 { return update.revision }
-
-// Age returns the time since the store was last known to be at that revision.
-func (update Update) Age() time.Duration { return update.age }
-
-// Checks returns the sending host's count of freshness checks.
-func (update Update) Checks() uint64 { return update.checks }
-
-// Held returns the time for which the sending host held its reply back.
-func (update Update) Held() time.Duration { return update.held }
-
-// WithHeld returns a copy with the time for which the reply was held back.
-func (update Update) WithHeld(held time.Duration) Update {
-	update.held = held
-	return update
-}
-
-// inTransit returns a copy of an update that arrived elapsed after it was asked for.
-// Its age covers the time that the request and the reply spent on the way, which is
-// long where the update is large or a link is slow.
-func (update Update) inTransit(elapsed time.Duration) Update {
-	update.age += max(elapsed-update.held, 0)
-	return update
-}
-
-// Complete reports whether the items are a complete copy and not changes.
-func (update Update) Complete() bool { return update.complete }
-
-// Items returns the items or changes; callers must not change them.
-func (update Update) Items() []Item { return update.items }
-
 // Tracker keeps a View current. Make one with New.
 type Tracker struct {
 	self    definer.Host
