--- a/internal/tracker/link_test.go
+++ b/internal/tracker/link_test.go
@@ -45,7 +45,8 @@
 	itemBytes = 100
 	// base64Share is the growth of values in the store's answers.
 	base64Share = 4.0 / 3
-	// compressedShare is the size of a routing table between hosts: 53 kB of 650 kB.
+	// compressedShare is the size of a routing table between hosts, as a share of its
+	// size in the store: 58 of 768 kB for 4,218 routes.
 	compressedShare = 0.08
 )
 
