messenger: the test of a restarted peer waits until the old link has ended

The call was sent while its link was being replaced: a call that is sent on a link that ends may have reached the peer, so Broken is the true answer then. The test did not wait for the end of the link.

Change: the test waits until all is settled before the call, and then wants Unreachable as before.

--- a/internal/messenger/link_test.go
+++ b/internal/messenger/link_test.go
@@ -119,6 +119,8 @@
 		if got, err := again.echo(t.Context(), "left", "tiles", 0); got != "tiles" || err != nil {
 			t.Fatalf("got %q, %v", got, err)
 		}
+		// The replaced link ends first: a call that is sent while it ends is Broken.
+		synctest.Wait()
 		_, err := right.echo(t.Context(), "left", "ledger", 0)
 		wantKind(t, err, Unreachable)
 		synctest.Wait()
