--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 	"hang-up":   hangUp,
 	"late-copy": lateCopy,
 	"deadly":    deadly,
+	"storm":     storm,
 }
 
 func main() {
