review: case 2, a hedge splits a long body between two endpoints

A script has clients send bodies of 600 kB in chunks on an idempotent route while one of three endpoints begins to read late. Both attempts of a hedged request read the same rest of the body.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 	"late-copy": lateCopy,
 	"deadly":    deadly,
 	"storm":     storm,
+	"upload":    upload,
 }
 
 func main() {
