--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -29,6 +29,8 @@
 	ended     time.Time
 	// late is true if the deadline passed.
 	late bool
+	// kept is true if the connection had carried a request before.
+	kept bool
 }
 
 // client resolves the addresses of gateways and keeps one connection open.
@@ -41,8 +43,10 @@
 	conn       net.Conn
 	reader     *bufio.Reader
 	address    string
-	failed     map[string]bool
-	only       string
+	// requests counts those on the connection.
+	requests int
+	failed   map[string]bool
+	only     string
 }
 
 var requestCount atomic.Uint64
@@ -106,7 +110,7 @@
 		client.failed[address] = true
 		return false
 	}
-	client.conn, client.reader, client.address = conn, bufio.NewReader(conn), address
+	client.conn, client.reader, client.address, client.requests = conn, bufio.NewReader(conn), address, 0
 	return true
 }
 
@@ -121,7 +125,8 @@
 
 // send sends one request on the connection and reads its answer.
 func (client *client) send(method, target, body string, deadline time.Duration) outcome {
-	outcome := outcome{id: newID(), gateway: client.gatewayName(), sent: time.Now()}
+	outcome := outcome{id: newID(), gateway: client.gatewayName(), sent: time.Now(), kept: client.requests > 0}
+	client.requests++
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, target, hostName, outcome.id, deadline.Milliseconds())
 	if method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
