--- a/cmd/chivespoold/main.go
+++ b/cmd/chivespoold/main.go
@@ -6,10 +6,8 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
@@ -28,12 +26,11 @@
 const gatewayGCPercent = 50
 
 func main() {
+	signals := catchSignals(context.Background())
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	ctx, stop := notifyStop(context.Background())
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := signals.command().Run(signals.stop, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "chivespoold:", err)
 		klog.Flush()
 		os.Exit(1)
@@ -41,16 +38,7 @@
 	klog.Flush()
 }
 
-// notifyStop returns a context that is cancelled by the first SIGINT or SIGTERM.
-// Further SIGTERMs are ignored, since requests are still in flight. A second
-// SIGINT, such as another Ctrl-C, terminates the process.
-func notifyStop(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, stop := signal.NotifyContext(parent, syscall.SIGINT, syscall.SIGTERM)
-	context.AfterFunc(ctx, func() { signal.Reset(syscall.SIGINT) })
-	return ctx, stop
-}
-
-func command() *cli.Command {
+func (signals *signals) command() *cli.Command {
 	settings := &cli.StringFlag{Name: "settings", Usage: "read settings from `FILE` (INI; docs/SETTINGS.md)", Required: true}
 	return &cli.Command{
 		Name:   "chivespoold",
@@ -68,7 +56,7 @@
 					Name: "settings", Usage: "read settings from `FILE`", Required: true,
 					Sources: cli.EnvVars("CHIVESPOOL_SETTINGS"),
 				}},
-				Action: runGateway,
+				Action: signals.runGateway,
 			},
 			{Name: "settings-page", Usage: "print docs/SETTINGS.md", Action: printSettingsPage},
 		},
@@ -91,11 +79,11 @@
 	return daemon.Run(ctx)
 }
 
-func runGateway(ctx context.Context, command *cli.Command) error {
+func (signals *signals) runGateway(ctx context.Context, command *cli.Command) error {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gatewayGCPercent)
 	}
-	gateway, err := launcher.New(command.String("settings"), os.Stdout)
+	gateway, err := launcher.New(command.String("settings"), os.Stdout, signals.hangups)
 	if err != nil {
 		return err
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -2,7 +2,7 @@
 // gateway: it creates and connects all parts, and runs them as one supervisor
 // tree. The chivespoold command calls it.
 //
-// The package reads the settings file, handles SIGHUP, and makes no routing
+// The package reads the settings file, reads it again on SIGHUP, and makes no routing
 // decisions.
 //
 // The children in their start order; they stop in the reverse order:
@@ -23,9 +23,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -69,9 +67,9 @@
 	file     string
 	// current are the settings read most recently.
 	current atomic.Pointer[loader.Settings]
-	// hangups receives SIGHUP. It is registered before the settings are read, so
-	// that no early signal ends the process.
-	hangups chan os.Signal
+	// hangups receives SIGHUP. It is registered as long as the process lives, so that
+	// no signal ends the process, whether or not a task receives from it.
+	hangups <-chan os.Signal
 	// self has the start time as its incarnation, so that the incarnation rises
 	// with each start.
 	self     definer.Host
@@ -94,11 +92,10 @@
 	peersRevision atomic.Uint64
 }
 
-// New returns a gateway with the settings in file that logs to output. All parts
-// are created and connected; Run starts them.
-func New(file string, output io.Writer) (*Gateway, error) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// New returns a gateway with the settings in file that logs to output and reads the
+// file again when it receives a signal from hangups. All parts are created and
+// connected; Run starts them.
+func New(file string, output io.Writer, hangups <-chan os.Signal) (*Gateway, error) {
 	settings, err := loader.Read(file)
 	if err != nil {
 		return nil, err
--- a/internal/launcher/reloader.go
+++ b/internal/launcher/reloader.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"strconv"
 	"time"
 
@@ -28,7 +27,6 @@
 
 // Run watches the file until ctx is done.
 func (reloader *reloader) Run(ctx context.Context) error {
-	defer signal.Stop(reloader.gateway.hangups)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	reloader.text, _ = os.ReadFile(reloader.gateway.file) // The first call of reload reports a failure.
