--- a/cmd/chivespoold/main_test.go
+++ b/cmd/chivespoold/main_test.go
@@ -126,6 +126,29 @@
 	}
 }
 
+// TestLogOutputCloses closes the reading end of a gateway's log. The gateway must go on
+// and end by its planned stop.
+func TestLogOutputCloses(t *testing.T) {
+	settings := filepath.Join(t.TempDir(), "gateway.ini")
+	text := fmt.Sprintf(gatewaySettings, append(freeAddresses(t, 6), time.Second)...)
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	gateway := startGateway(t, settings)
+	gateway.await(t, `"starts"`)
+	_ = gateway.output.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- gateway.command.Wait() }()
+	for range 20 { // Each SIGHUP causes log lines.
+		_ = gateway.command.Process.Signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+	}
+	_ = gateway.command.Process.Signal(syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Errorf("the gateway ended by %v, want exit status 0", err)
+	}
+}
+
 // gatewayProcess is a gateway that runs in a process of its own.
 type gatewayProcess struct {
 	command *exec.Cmd
--- a/cmd/chivespoold/signals.go
+++ b/cmd/chivespoold/signals.go
@@ -20,10 +20,12 @@
 	hangups chan os.Signal
 }
 
-// catchSignals catches the signals.
+// catchSignals catches the signals. SIGPIPE is ignored, so that a log output that has
+// been closed fails a write and not the process.
 func catchSignals(parent context.Context) *signals {
 	signals := &signals{hangups: make(chan os.Signal, 1)}
 	signal.Notify(signals.hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	signals.stop, _ = signal.NotifyContext(parent, syscall.SIGINT, syscall.SIGTERM)
 	context.AfterFunc(signals.stop, func() { signal.Reset(syscall.SIGINT) })
 	return signals
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -2,8 +2,8 @@
 // package launcher.
 //
 // Logging never blocks: lines go through a bounded queue, which Run empties, and
-// those that do not fit are dropped and counted. The rates of routine lines and
-// of lines about problems are limited.
+// those that do not fit or can't be written are dropped and counted. The rates of
+// routine lines and of lines about problems are limited.
 package logger
 
 import (
@@ -82,9 +82,7 @@
 	for {
 		select {
 		case line := <-log.queue:
-			if err := log.write(line); err != nil {
-				return fmt.Errorf("write the log; check where the output goes: %w", err)
-			}
+			log.write(line)
 		case <-ticker.C:
 			log.reportDropped()
 		case <-ctx.Done():
@@ -94,13 +92,18 @@
 	}
 }
 
-// write writes line and all queued lines in one call.
-func (log *Log) write(line []byte) error {
+// write writes line, which was taken from the queue, and all queued lines in one call.
+// If the output fails, for example since its reader has ended, they count as dropped:
+// there is no other output to report to.
+func (log *Log) write(line []byte) {
+	count := int64(1)
 	for range len(log.queue) {
 		line = append(line, <-log.queue...)
+		count++
+	}
+	if _, err := log.output.Write(line); err != nil {
+		log.dropped.Add(count)
 	}
-	_, err := log.output.Write(line)
-	return err
 }
 
 func (log *Log) reportDropped() {
@@ -112,8 +115,10 @@
 // flush writes the queued lines.
 func (log *Log) flush() {
 	log.reportDropped()
-	if len(log.queue) > 0 {
-		_ = log.write(nil) // There is no other output to report to.
+	select {
+	case line := <-log.queue:
+		log.write(line)
+	default:
 	}
 }
 
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -60,3 +60,46 @@
 		}
 	})
 }
+
+// failingOutput is an output that fails while failing is true.
+type failingOutput struct {
+	bytes.Buffer
+	failing bool
+}
+
+func (failingOutput *failingOutput) Write(lines []byte) (int, error) {
+	if failingOutput.failing {
+		return 0, io.ErrClosedPipe
+	}
+	return failingOutput.Buffer.Write(lines)
+}
+
+// TestOutputFails checks that a log goes on when its output fails, and counts the lines
+// that were lost. Once, the failure ended the process.
+func TestOutputFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &failingOutput{failing: true}
+		log := New(output)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- log.Run(ctx) }()
+		const lost = 20
+		for range lost {
+			_, _ = log.Write([]byte("lost\n"))
+			synctest.Wait()
+		}
+		if dropped := log.dropped.Load(); dropped != lost {
+			t.Errorf("%d lines count as dropped, want %d", dropped, lost)
+		}
+		output.failing = false
+		_, _ = log.Write([]byte("written\n"))
+		synctest.Wait()
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("the log ended by %v", err)
+		}
+		if !strings.Contains(output.String(), "written") {
+			t.Error("the line after the failure is missing")
+		}
+	})
+}
