--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -20,8 +20,10 @@
 
 // Limits of a log.
 const (
-	// queueLines is the capacity of the queue.
+	// queueLines and queueBytes are the capacity of the queue: a line holds text that
+	// callers choose.
 	queueLines = 2048
+	queueBytes = 1 << 20
 	// flushTimeout limits how long Close waits for Run to end.
 	flushTimeout = 200 * time.Millisecond
 	// routineLines is the maximum number per second of lines that every request
@@ -36,6 +38,8 @@
 type Log struct {
 	output io.Writer
 	queue  chan []byte
+	// queued counts the bytes of the lines in queue; it is at most queueBytes.
+	queued atomic.Int64
 	// dropped counts the lines dropped since the count was last logged.
 	dropped  atomic.Int64
 	routine  budget
@@ -66,11 +70,16 @@
 // Write queues one line, or drops it if the queue is full. It never blocks or
 // fails.
 func (log *Log) Write(line []byte) (int, error) {
-	select {
-	case log.queue <- append([]byte(nil), line...):
-	default:
-		log.dropped.Add(1)
+	size := int64(len(line))
+	if log.queued.Add(size) <= queueBytes {
+		select {
+		case log.queue <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	log.queued.Add(-size)
+	log.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -101,6 +110,7 @@
 		line = append(line, <-log.queue...)
 		count++
 	}
+	log.queued.Add(-int64(len(line)))
 	if _, err := log.output.Write(line); err != nil {
 		log.dropped.Add(count)
 	}
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -103,3 +103,16 @@
 		}
 	})
 }
+
+// TestLongLines checks that the queue of a blocked output is bounded in bytes: a request
+// id of a caller may be as long as a header.
+func TestLongLines(t *testing.T) {
+	log := New(io.Discard)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range queueLines {
+		_, _ = log.Write(line)
+	}
+	if held := len(log.queue) * len(line); held > queueBytes || held < queueBytes/2 {
+		t.Errorf("the queue holds %d bytes, want at most %d", held, queueBytes)
+	}
+}
