--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -42,11 +44,14 @@
 	arrived time.Time
 	// atMostOnce is true if the request must not run more than once.
 	atMostOnce bool
+	// carriers records the connections that have carried the request; copies of the
+	// request share it.
+	carriers *carriers
 }
 
 // NewRequest returns a request without a body.
 func NewRequest(id, service, method, target string, header http.Header) *Request {
-	return &Request{id: id, service: service, method: method, target: target, header: header}
+	return &Request{id: id, service: service, method: method, target: target, header: header, carriers: new(carriers)}
 }
 
 // WithBody buffers the first part of body and attaches the body to a copy of the
@@ -172,6 +177,11 @@
 	return request.remainder == nil || !request.remainder.started.Load()
 }
 
+// Carry records that the connection numbered connection carries the request, and
+// reports whether it does so for the first time. An answer on a connection that has
+// carried the request before may be a late copy of an earlier one: both have its id.
+func (request *Request) Carry(connection uint64) bool { return request.carriers.add(connection) }
+
 // Fingerprint returns a hash of the request's content: its service, method, target,
 // key, length and the buffered part of its body.
 func (request *Request) Fingerprint() [sha256.Size]byte {
@@ -185,6 +195,25 @@
 	return [sha256.Size]byte(hash.Sum(nil))
 }
 
+// carriers is the set of the connections that have carried a request, at most one for
+// each of its attempts. The zero value is the empty set.
+type carriers struct {
+	// mu guards numbers.
+	mu      sync.Mutex
+	numbers []uint64
+}
+
+// add adds number and reports whether it is new.
+func (carriers *carriers) add(number uint64) bool {
+	carriers.mu.Lock()
+	defer carriers.mu.Unlock()
+	if slices.Contains(carriers.numbers, number) {
+		return false
+	}
+	carriers.numbers = append(carriers.numbers, number)
+	return true
+}
+
 // readTracker records whether it was read from.
 type readTracker struct {
 	reader  io.Reader
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -33,6 +33,8 @@
 // connection is a connection to an endpoint, used by one request at a time.
 type connection struct {
 	net.Conn
+	// number identifies the connection in this process.
+	number uint64
 	reader *bufio.Reader
 	// readLimit is how many bytes the reader may still read from the connection.
 	readLimit int64
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	connection := &connection{Conn: conn, key: connectionKey(endpoint), readLimit: math.MaxInt64}
+	connection := &connection{Conn: conn, number: sender.dialed.Add(1), key: connectionKey(endpoint), readLimit: math.MaxInt64}
 	connection.reader = bufio.NewReaderSize(&limitedReader{connection: connection}, bufferBytes)
 	connection.lastUsed = time.Now()
 	connection.expires = connection.lastUsed.Add(defaultIdleTimeout)
--- a/internal/sender/keep_alive_test.go
+++ b/internal/sender/keep_alive_test.go
@@ -20,7 +20,7 @@
 	if _, err := io.ReadAll(answer); err != nil {
 		t.Fatal(err)
 	}
-	if connection := sender.take(backend.endpoint(), time.Now().Add(7*time.Second)); connection == nil {
+	if connection := sender.take(backend.endpoint(), time.Now().Add(7*time.Second), anyConnection); connection == nil {
 		t.Error("a connection that the endpoint keeps for 10 s is not reused after 7 s")
 	} else {
 		_ = connection.Close()
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,11 +24,17 @@
 	idle map[string][]*connection
 }
 
-// take returns the most recently used connection to endpoint, or nil. It closes
-// those that cannot be reused.
-func (idlePool *idlePool) take(endpoint definer.Endpoint, now time.Time) *connection {
+// usable selects connections of the pool.
+type usable func(*connection) bool
+
+// anyConnection selects all connections.
+func anyConnection(*connection) bool { return true }
+
+// take returns the most recently used connection to endpoint that is usable, or nil. It
+// closes those that cannot be reused.
+func (idlePool *idlePool) take(endpoint definer.Endpoint, now time.Time, usable usable) *connection {
 	for {
-		connection := idlePool.pop(connectionKey(endpoint))
+		connection := idlePool.pop(connectionKey(endpoint), usable)
 		if connection == nil || (!connection.expired(now) && connection.reusable()) {
 			return connection
 		}
@@ -35,16 +42,17 @@
 	}
 }
 
-func (idlePool *idlePool) pop(key string) *connection {
+func (idlePool *idlePool) pop(key string, usable usable) *connection {
 	idlePool.mu.Lock()
 	defer idlePool.mu.Unlock()
 	list := idlePool.idle[key]
-	if len(list) == 0 {
-		return nil
+	for index := len(list) - 1; index >= 0; index-- {
+		if connection := list[index]; usable(connection) {
+			idlePool.idle[key] = slices.Delete(list, index, index+1)
+			return connection
+		}
 	}
-	connection := list[len(list)-1]
-	idlePool.idle[key] = list[:len(list)-1]
-	return connection
+	return nil
 }
 
 // put adds a connection without a request in flight, or closes it if it has
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
@@ -50,6 +51,8 @@
 	// freshness is the longest idle time after which a pooled connection carries
 	// an at-most-once request without a health check.
 	freshness time.Duration
+	// dialed counts the connections, to number them.
+	dialed atomic.Uint64
 	idlePool
 }
 
@@ -90,7 +93,7 @@
 // Send sends request to endpoint once. Every error is a [dispatcher.Failure].
 // The caller must close the answer; ctx also applies to reading its body.
 func (sender *Sender) Send(ctx context.Context, endpoint definer.Endpoint, request *dispatcher.Request) (*dispatcher.Answer, error) {
-	connection, err := sender.connect(ctx, endpoint, request.AtMostOnce())
+	connection, err := sender.connect(ctx, endpoint, request)
 	if err != nil {
 		return nil, dispatcher.NewFailure(causeOf(ctx, dispatcher.Unconnected), false, err)
 	}
@@ -309,7 +312,7 @@
 // Probe sends a health check to endpoint over a pooled connection, or a new one
 // that it adds to the pool, and returns the endpoint's load report.
 func (sender *Sender) Probe(ctx context.Context, endpoint definer.Endpoint) (definer.Report, error) {
-	connection := sender.take(endpoint, time.Now())
+	connection := sender.take(endpoint, time.Now(), anyConnection)
 	if connection != nil {
 		if report, err := sender.probe(ctx, connection, endpoint); err == nil || ctx.Err() != nil {
 			return report, err
@@ -361,16 +364,17 @@
 	return report, nil
 }
 
-// connect returns a pooled or new connection to endpoint. For an at-most-once
-// request, a pooled connection that exceeds the freshness limit must first pass a
-// health check.
-func (sender *Sender) connect(ctx context.Context, endpoint definer.Endpoint, atMostOnce bool) (*connection, error) {
+// connect returns a pooled or new connection to endpoint that has not carried request
+// yet. For an at-most-once request, a pooled connection that exceeds the freshness limit
+// must first pass a health check.
+func (sender *Sender) connect(ctx context.Context, endpoint definer.Endpoint, request *dispatcher.Request) (*connection, error) {
+	usable := func(connection *connection) bool { return request.Carry(connection.number) }
 	for {
-		connection := sender.take(endpoint, time.Now())
+		connection := sender.take(endpoint, time.Now(), usable)
 		if connection == nil {
-			return sender.dial(ctx, endpoint)
+			return sender.dialFor(ctx, endpoint, request)
 		}
-		if !atMostOnce || time.Since(connection.lastUsed) <= sender.freshness {
+		if !request.AtMostOnce() || time.Since(connection.lastUsed) <= sender.freshness {
 			return connection, nil
 		}
 		if !strings.HasPrefix(endpoint.HealthPath(), "/") {
@@ -386,3 +390,13 @@
 		}
 	}
 }
+
+// dialFor opens a connection that carries request.
+func (sender *Sender) dialFor(ctx context.Context, endpoint definer.Endpoint, request *dispatcher.Request) (*connection, error) {
+	connection, err := sender.dial(ctx, endpoint)
+	if err != nil {
+		return nil, err
+	}
+	request.Carry(connection.number)
+	return connection, nil
+}
