--- a/internal/tracker/replica.go
+++ b/internal/tracker/replica.go
@@ -3,7 +3,8 @@
 import "slices"
 
 // maxLogged bounds the changes that a replica keeps for peers that are behind;
-// a peer further behind gets a complete copy.
+// a peer further behind gets a complete copy. Of each key only the last change has a
+// value, so that the log holds no values besides those of the copy.
 const maxLogged = 1024
 
 // replica is a copy of parts of the store, complete up to a revision. It
@@ -14,7 +15,9 @@
 	revision uint64
 	// items holds the existing keys.
 	items map[string]Item
-	// log holds the last changes in order: all after revision since.
+	// log holds the last changes in order: all after revision since. A change that a
+	// later one in the log supersedes is kept as a removal, without its value: the
+	// changes after any revision include the later one and are applied together.
 	log   []Item
 	since uint64
 }
@@ -53,6 +56,7 @@
 	} else {
 		replica.put(change)
 	}
+	replica.supersede(change.key)
 	replica.log = append(replica.log, change)
 	if extra := len(replica.log) - maxLogged; extra > 0 {
 		replica.since = replica.log[extra-1].revision
@@ -60,6 +64,16 @@
 	}
 }
 
+// supersede drops the value of the last change to key in the log.
+func (replica *replica) supersede(key string) {
+	for index := len(replica.log) - 1; index >= 0; index-- {
+		if logged := replica.log[index]; logged.key == key {
+			replica.log[index] = RemovedItem(key, logged.revision)
+			return
+		}
+	}
+}
+
 func (replica *replica) put(item Item) {
 	if replica.items == nil {
 		replica.items = make(map[string]Item)
