--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -9,6 +9,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,6 +34,10 @@
 // Capacity is how many events a Recorder holds. New events replace the oldest.
 const Capacity = 4096
 
+// maxTextBytes bounds the text of an event, which may hold a request id that a caller
+// chose; the rest is cut off.
+const maxTextBytes = 256
+
 // Event is an entry of a timeline.
 type Event struct {
 	stamp   Stamp
@@ -87,7 +92,7 @@
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
 	recorder.last = recorder.last.next(time.Now())
-	event := NewEvent(recorder.last, recorder.process, kind, object, text)
+	event := NewEvent(recorder.last, recorder.process, kind, object, shorten(text))
 	if len(recorder.ring) < Capacity {
 		recorder.ring = append(recorder.ring, event)
 		return
@@ -96,6 +101,14 @@
 	recorder.next = (recorder.next + 1) % Capacity
 }
 
+// shorten returns at most the first maxTextBytes bytes of text.
+func shorten(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.Clone(text[:maxTextBytes])
+}
+
 // Now returns a new stamp to send with a message.
 func (recorder *Recorder) Now() Stamp {
 	recorder.mu.Lock()
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,3 +38,13 @@
 		t.Fatalf("newest is %v", newest)
 	}
 }
+
+// TestLongText checks that events are bounded in bytes: the text may hold a request id
+// that is as long as a header.
+func TestLongText(t *testing.T) {
+	var recorder Recorder
+	recorder.Record(KindRefusal, "ledger", strings.Repeat("x", 64<<10))
+	if text := recorder.Events(Stamp{})[0].Text(); len(text) != maxTextBytes {
+		t.Errorf("the text has %d bytes, want %d", len(text), maxTextBytes)
+	}
+}
