--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -52,6 +52,9 @@
 // Crashes returns the ids of the crashes; callers must not change the slice.
 func (suspect Suspect) Crashes() []ID { return suspect.crashes }
 
+// Newest returns the id of the crash that was recorded last.
+func (suspect Suspect) Newest() ID { return suspect.crashes[len(suspect.crashes)-1] }
+
 // Trial returns the id of the granted trial, or zero.
 func (suspect Suspect) Trial() ID { return suspect.trial }
 
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -16,6 +16,7 @@
 type exchange struct {
 	dispatcher *Dispatcher
 	call       *call
+	run        Run
 	slot       Slot
 	start      time.Time
 }
@@ -47,12 +48,12 @@
 		result = result.WithReport(answer.inFlight, answer.slots)
 	}
 	exchange.slot.Release(result)
-	exchange.dispatcher.endAdmission(exchange.call, nil)
+	exchange.dispatcher.endAdmission(exchange.call, exchange.run, nil)
 }
 
 func (exchange *exchange) fail(failure *Failure) {
 	exchange.slot.Release(router.NewResult(routerOutcomes[failure.cause], time.Since(exchange.start)))
-	exchange.dispatcher.endAdmission(exchange.call, failure)
+	exchange.dispatcher.endAdmission(exchange.call, exchange.run, failure)
 }
 
 // routerOutcomes maps the cause of a failed attempt to the outcome reported to the
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -171,27 +171,30 @@
 // *refuser.Refusal.
 func (race *race) startAttempt() error {
 	dispatcher, call := race.dispatcher, race.call
-	if err := dispatcher.admit(race.ctx, call); err != nil {
+	admission, err := dispatcher.admit(race.ctx, call)
+	if err != nil {
 		return err
 	}
+	run := NewRun(call.fingerprint, admission, definer.Endpoint{})
 	slot, err := dispatcher.acquire(race.ctx, call)
 	if err != nil {
-		dispatcher.endAdmission(call, NewFailure(Unconnected, false, err))
+		dispatcher.endAdmission(call, run, NewFailure(Unconnected, false, err))
 		return call.attempts.adjust(asRefusal(err))
 	}
 	left := dispatcher.timeLeft(call)
 	if left <= 0 {
 		// The machine was suspended while the request waited for its slot.
 		slot.Release(router.NewResult(router.Cancelled, 0))
-		dispatcher.endAdmission(call, NewFailure(DeadlineExceeded, false, nil))
+		dispatcher.endAdmission(call, run, NewFailure(DeadlineExceeded, false, nil))
 		return call.attempts.adjust(refuser.New(refuser.KindDeadline, refuser.NotRun, "the deadline passed before the request was sent"))
 	}
-	call.tried = append(call.tried, slot.Endpoint().Name())
+	run.endpoint = slot.Endpoint()
+	call.tried = append(call.tried, run.endpoint.Name())
 	call.attempts.begin()
 	ctx, cancel := context.WithTimeout(race.ctx, left)
 	attempt := &attempt{
 		race: race, ctx: ctx, number: len(race.cancels),
-		exchange: exchange{dispatcher: dispatcher, call: call, slot: slot, start: time.Now()},
+		exchange: exchange{dispatcher: dispatcher, call: call, run: run, slot: slot, start: time.Now()},
 	}
 	race.cancels = append(race.cancels, cancel)
 	race.running++
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -182,14 +182,18 @@
 // carried the request before may be a late copy of an earlier one: both have its id.
 func (request *Request) Carry(connection uint64) bool { return request.carriers.add(connection) }
 
-// Fingerprint returns a hash of the request's content: its service, method, target,
-// key, length and the buffered part of its body.
+// Fingerprint returns a hash of the request's content: its service or authority, method,
+// target, key, length and the buffered part of its body.
 func (request *Request) Fingerprint() [sha256.Size]byte {
 	hash := sha256.New()
 	for _, part := range []string{request.service, request.method, request.target, request.key} {
 		_, _ = io.WriteString(hash, part)
 		hash.Write([]byte{0})
 	}
+	if request.authority != "" {
+		_, _ = io.WriteString(hash, request.authority)
+		hash.Write([]byte{0})
+	}
 	_ = binary.Write(hash, binary.BigEndian, request.length)
 	hash.Write(request.buffered)
 	return [sha256.Size]byte(hash.Sum(nil))
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -10,7 +10,7 @@
 //	log
 //	links      messenger
 //	beliefs    poller, puller, updater
-//	routing    sender
+//	routing    sender, quarantiner, verifier
 //	front      metrics, directory, ready, front
 //	fleet      reloader, enroller, usher
 //
@@ -41,11 +41,13 @@
 	"github.com/chivespool/chivespool/internal/messenger"
 	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
+	"github.com/chivespool/chivespool/internal/quarantiner"
 	"github.com/chivespool/chivespool/internal/recorder"
 	"github.com/chivespool/chivespool/internal/sender"
 	"github.com/chivespool/chivespool/internal/supervisor"
 	"github.com/chivespool/chivespool/internal/timekeeper"
 	"github.com/chivespool/chivespool/internal/tracker"
+	"github.com/chivespool/chivespool/internal/verifier"
 	"github.com/chivespool/chivespool/platform"
 )
 
@@ -86,6 +88,9 @@
 	permitter  *permitter.Permitter
 	sender     *sender.Sender
 	dispatcher *dispatcher.Dispatcher
+	// quarantiner holds the requests that crash endpoints, which verifier finds.
+	quarantiner *quarantiner.Quarantiner
+	verifier    *verifier.Verifier
 	// leaving is true once a planned stop has begun.
 	leaving atomic.Bool
 	// peersRevision is the revision of the view that the messenger's peers are from.
@@ -159,6 +164,10 @@
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
 	gateway.sender.SetObserver(gateway.permitter)
+	gateway.quarantiner = &quarantiner.Quarantiner{}
+	gateway.quarantiner.SetStore(&suspectStore{gateway: gateway})
+	gateway.quarantiner.SetLimits(suspectLimits())
+	gateway.verifier = verifier.New(gateway.quarantiner, gateway.sender, gateway.log)
 	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
 	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
 	gateway.dispatcher.SetPlanner(dispatcher.NewRoutePlanner(gateway))
@@ -167,6 +176,7 @@
 	gateway.dispatcher.SetRegistry(gateway.registry)
 	gateway.dispatcher.SetJournal(gateway.log)
 	gateway.dispatcher.SetClock(&gateway.clock)
+	gateway.dispatcher.SetQuarantiner(gateway.verifier)
 }
 
 // Run runs the gateway until ctx is done, then stops it gracefully.
@@ -194,6 +204,8 @@
 	view.Add("puller", gateway.tracker.Puller())
 	view.Add("updater", &updater{gateway: gateway})
 	routing.Add("sender", gateway.sender)
+	routing.Add("quarantiner", gateway.quarantiner)
+	routing.Add("verifier", gateway.verifier)
 	if settings.MetricsAddress() != "" {
 		acceptors.Add("metrics", gateway.listen(settings.MetricsAddress(), &metricsFront{gateway: gateway}))
 	}
--- /dev/null
+++ b/internal/launcher/suspects.go
@@ -0,0 +1,77 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/quarantiner"
+)
+
+// Limits of the suspects: requests during which an endpoint crashed.
+const (
+	// suspectPeriod is how long a request remains a suspect after a crash.
+	suspectPeriod = 15 * time.Minute
+	// maxSuspects bounds the suspects of the fleet, whose list goes to all hosts with
+	// each change.
+	maxSuspects = 128
+	// suspectInterval is the time between two reads of the host's copy of the list.
+	suspectInterval = 500 * time.Millisecond
+	// suspectTimeout limits a write of the list, and is the time until the next one if
+	// it fails.
+	suspectTimeout = 4 * time.Second
+)
+
+// suspectLimits returns the limits of a gateway's quarantiner.
+func suspectLimits() quarantiner.Limits {
+	return quarantiner.DefaultLimits().WithSuspicion(suspectPeriod).WithMaxSuspects(maxSuspects).
+		WithPoll(suspectInterval).WithMaxWait(suspectTimeout).WithoutTrials()
+}
+
+// suspectStore gives the quarantiner the list of suspects. The tracker's copy of the
+// store brings it to every host, so that reading it takes no call of the store.
+type suspectStore struct {
+	gateway *Gateway
+	// mu guards latest.
+	mu sync.Mutex
+	// latest is the entry that the store itself returned last.
+	latest connector.Entry
+}
+
+// Get returns the newest entry of key that the host knows.
+func (suspectStore *suspectStore) Get(_ context.Context, key string) (connector.Entry, error) {
+	suspectStore.mu.Lock()
+	defer suspectStore.mu.Unlock()
+	if item, ok := suspectStore.gateway.tracker.Item(key); ok && item.Revision() >= suspectStore.latest.Version() {
+		return connector.NewEntry(item.Value(), item.Revision()), nil
+	}
+	return suspectStore.latest, nil
+}
+
+// CompareAndSwap writes key in the store. After a conflict it reads the entry, since
+// the host's copy may lag behind.
+func (suspectStore *suspectStore) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte) (connector.Entry, error) {
+	store := suspectStore.gateway.store
+	revision, err := store.CompareAndSwap(ctx, key, version, data)
+	var failure *connector.CallError
+	switch {
+	case err == nil:
+		suspectStore.setLatest(connector.NewEntry(data, revision))
+		return connector.NewEntry(data, revision), nil
+	case errors.As(err, &failure) && (failure.Kind() == connector.Conflict || failure.Kind() == connector.Unknown):
+		item, _, readErr := store.Get(ctx, key)
+		if readErr != nil {
+			return connector.Entry{}, readErr
+		}
+		suspectStore.setLatest(connector.NewEntry(item.Value(), item.Revision()))
+	}
+	return connector.Entry{}, err
+}
+
+func (suspectStore *suspectStore) setLatest(entry connector.Entry) {
+	suspectStore.mu.Lock()
+	defer suspectStore.mu.Unlock()
+	suspectStore.latest = entry
+}
--- a/internal/quarantiner/limits.go
+++ b/internal/quarantiner/limits.go
@@ -13,6 +13,7 @@
 	maxSuspects     int
 	pollInterval    time.Duration
 	maxWait         time.Duration
+	withoutTrials   bool
 }
 
 // DefaultLimits returns the limits used where none are set.
@@ -51,6 +52,13 @@
 	return limits
 }
 
+// WithoutTrials makes suspects run without a trial, so that a request that happened to
+// run on a server that crashed is not held back.
+func (limits Limits) WithoutTrials() Limits {
+	limits.withoutTrials = true
+	return limits
+}
+
 func (limits Limits) detectorLimits() detector.Limits {
 	return detector.NewLimits(limits.suspicionPeriod, limits.maxSuspects)
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -6,11 +6,16 @@
 // platform's store, changed by compare-and-swap and announced to the other hosts,
 // so that a request that is not a suspect is admitted from a local copy without
 // I/O.
+//
+// Hosts whose limits are without trials run a suspect like any other request, and count
+// only crashes that follow each other: those of runs that were admitted before the crash
+// of another became known count as one with it.
 package quarantiner
 
 import (
 	"context"
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/binary"
 	"sync"
 	"sync/atomic"
@@ -40,7 +45,11 @@
 }
 
 // Admission is the permission to run a request.
-type Admission struct{ isolated bool }
+type Admission struct {
+	isolated bool
+	// newest is the newest crash of the request that was known; zero for none.
+	newest detector.ID
+}
 
 // Isolated reports whether the request is a suspect on trial. Its endpoint must
 // not run another suspect at the same time.
@@ -113,9 +122,22 @@
 	if suspect.Deadly() {
 		return Admission{}, deadlyRequest()
 	}
+	if quarantiner.prepare().withoutTrials {
+		return Admission{newest: suspect.Newest()}, nil
+	}
 	return quarantiner.acquireTrial(ctx, short)
 }
 
+// RecordCrash records that a backend server crashed while it ran a request that was
+// admitted by admission. It does not wait: Run writes the crash to the store. Crashes of
+// runs whose admissions knew of the same crashes count as one.
+func (quarantiner *Quarantiner) RecordCrash(fingerprint [32]byte, admission Admission) {
+	quarantiner.prepare()
+	short := detector.Fingerprint(fingerprint[:16])
+	digest := sha256.Sum256(append(short[:], admission.newest[:]...))
+	quarantiner.addUnrecorded(crash{fingerprint: short, id: detector.ID(digest[:16]), at: time.Now()})
+}
+
 // Crashed records that a backend server crashed while it ran the request. It
 // returns once the other hosts have received the crash, or after the maximum
 // wait. The caller must not answer the request before Crashed returns, so that
--- a/internal/quarantiner/synchronize.go
+++ b/internal/quarantiner/synchronize.go
@@ -22,8 +22,11 @@
 func (quarantiner *Quarantiner) Run(ctx context.Context) error {
 	limits := quarantiner.prepare()
 	for ctx.Err() == nil {
-		quarantiner.synchronize(ctx, limits)
-		await(ctx, quarantiner.wake, limits.pollInterval)
+		wait := limits.pollInterval
+		if !quarantiner.synchronize(ctx, limits) {
+			wait = limits.maxWait
+		}
+		await(ctx, quarantiner.wake, wait)
 	}
 	return nil
 }
@@ -48,8 +51,9 @@
 	return quarantiner.known.Load()
 }
 
-// synchronize reads the list and writes the queued changes of this host.
-func (quarantiner *Quarantiner) synchronize(ctx context.Context, limits Limits) {
+// synchronize reads the list and writes the crashes and the queued changes of this host.
+// It reports whether the store answered.
+func (quarantiner *Quarantiner) synchronize(ctx context.Context, limits Limits) bool {
 	ctx, cancel := context.WithTimeout(ctx, limits.maxWait)
 	defer cancel()
 	changes := quarantiner.takeQueued()
@@ -63,12 +67,13 @@
 	if err != nil {
 		klog.V(1).InfoS("could not synchronize the list of suspects with the store", "err", err)
 		quarantiner.requeue(changes)
-		return
+		return false
 	}
 	if wrote {
 		// Hosts that do not receive the list read it from the store.
 		_ = quarantiner.announce(ctx)
 	}
+	return true
 }
 
 // Merge merges a list announced by another host. A list older than the local
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -156,7 +156,7 @@
 	daemon.dispatcher.SetLimits(settings.MaxAttempts(), settings.RequestTimeout(), settings.RetryShare())
 	daemon.dispatcher.SetRegistry(daemon.registry)
 	daemon.dispatcher.SetClaimer(daemon.claimer)
-	daemon.dispatcher.SetQuarantiner(daemon.quarantiner)
+	daemon.dispatcher.SetQuarantiner(dispatcher.QuarantinerAdapter{Quarantiner: daemon.quarantiner})
 }
 
 // policies holds the policy for each value of the setting [routing] policy.
--- /dev/null
+++ b/internal/verifier/verifier_test.go
@@ -0,0 +1,266 @@
+package verifier
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/quarantiner"
+)
+
+// fakeStore is a store of one key whose readers see each change only after lag.
+type fakeStore struct {
+	// mu guards the fields below.
+	mu     sync.Mutex
+	lag    time.Duration
+	past   []version
+	outage bool
+	writes int
+}
+
+// version is an entry and the time of its write.
+type version struct {
+	entry connector.Entry
+	at    time.Time
+}
+
+// newest returns the newest entry that is older than lag.
+func (fakeStore *fakeStore) newest(lag time.Duration) connector.Entry {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	for index := len(fakeStore.past) - 1; index >= 0; index-- {
+		if time.Since(fakeStore.past[index].at) >= lag {
+			return fakeStore.past[index].entry
+		}
+	}
+	return connector.Entry{}
+}
+
+// fakeCopy is a host's copy of the store.
+type fakeCopy struct {
+	store *fakeStore
+	// latest is the entry that the store returned after a conflict.
+	latest connector.Entry
+}
+
+func (fakeCopy *fakeCopy) Get(context.Context, string) (connector.Entry, error) {
+	if entry := fakeCopy.store.newest(fakeCopy.store.lag); entry.Version() >= fakeCopy.latest.Version() {
+		return entry, nil
+	}
+	return fakeCopy.latest, nil
+}
+
+func (fakeCopy *fakeCopy) CompareAndSwap(_ context.Context, _ string, expected uint64, data []byte) (connector.Entry, error) {
+	current := fakeCopy.store.newest(0)
+	fakeCopy.latest = current
+	store := fakeCopy.store
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.writes++
+	if store.outage {
+		return connector.Entry{}, connector.NewError(connector.Unavailable, "compare-and-swap", nil)
+	}
+	if current.Version() != expected {
+		return connector.Entry{}, connector.NewError(connector.Conflict, "compare-and-swap", nil)
+	}
+	entry := connector.NewEntry(data, expected+1)
+	store.past = append(store.past, version{entry: entry, at: time.Now()})
+	return entry, nil
+}
+
+// fakeProber refuses the connections to endpoints that have crashed.
+type fakeProber struct {
+	mu      sync.Mutex
+	crashed map[string]bool
+	probes  int
+}
+
+func (fakeProber *fakeProber) Probe(_ context.Context, endpoint definer.Endpoint) (definer.Report, error) {
+	fakeProber.mu.Lock()
+	defer fakeProber.mu.Unlock()
+	fakeProber.probes++
+	if fakeProber.crashed[endpoint.Name()] {
+		return definer.Report{}, fmt.Errorf("connect: %w", syscall.ECONNREFUSED)
+	}
+	return definer.Report{}, nil
+}
+
+type discardJournal struct{}
+
+func (discardJournal) Change(string, ...any) {}
+
+// host is one host of a fleet.
+type host struct {
+	*Verifier
+	tasks sync.WaitGroup
+}
+
+func (host *host) run(ctx context.Context, task interface{ Run(context.Context) error }) {
+	host.tasks.Go(func() { _ = task.Run(ctx) })
+}
+
+// withFleet runs test with hosts that share a store and a prober.
+func withFleet(t *testing.T, count int, test func(hosts []*host, store *fakeStore, prober *fakeProber)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{lag: 300 * time.Millisecond}
+		prober := &fakeProber{crashed: make(map[string]bool)}
+		ctx, cancel := context.WithCancel(t.Context())
+		var hosts []*host
+		for range count {
+			inner := &quarantiner.Quarantiner{}
+			inner.SetStore(&fakeCopy{store: store})
+			inner.SetLimits(quarantiner.DefaultLimits().WithPoll(500 * time.Millisecond).WithoutTrials())
+			host := &host{Verifier: New(inner, prober, discardJournal{})}
+			host.run(ctx, inner)
+			host.run(ctx, host.Verifier)
+			hosts = append(hosts, host)
+			time.Sleep(7 * time.Millisecond) // The hosts read their copies at different times.
+		}
+		test(hosts, store, prober)
+		cancel()
+		for _, host := range hosts {
+			host.tasks.Wait()
+		}
+	})
+}
+
+func endpoint(name string) definer.Endpoint {
+	return definer.NewEndpoint(name, "tile-api", "127.0.0.1:1", definer.Place{}, 4)
+}
+
+// fingerprint returns that of the request called name.
+func fingerprint(name string) [sha256.Size]byte { return sha256.Sum256([]byte(name)) }
+
+// crash sends a request that crashes the endpoint called name, unless host refuses it.
+// It reports whether the request was sent.
+func (host *host) crash(t *testing.T, prober *fakeProber, request, name string) bool {
+	admission, err := host.Admit(t.Context(), fingerprint(request))
+	if err != nil {
+		return false
+	}
+	prober.mu.Lock()
+	prober.crashed[name] = true
+	prober.mu.Unlock()
+	if err := host.Crashed(t.Context(), dispatcher.NewRun(fingerprint(request), admission, endpoint(name))); err != nil {
+		t.Error(err)
+	}
+	return true
+}
+
+// TestDeadlyRequestOverAllHosts sends a request that crashes endpoints again and again,
+// to any host, with one or two attempts each time, as its route allows. Once it reached
+// endpoints without end (review/5). At most three retries may reach one later than 3 s
+// after the third crash.
+func TestDeadlyRequestOverAllHosts(t *testing.T) {
+	const stableWindow = 3 * time.Second
+	for seed := range uint64(20) {
+		for _, attempts := range []int{1, 2} {
+			withFleet(t, 14, func(hosts []*host, _ *fakeStore, prober *fakeProber) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				crashes, late := 0, 0
+				var bound time.Time
+				for arrival := range 12 {
+					host := hosts[random.IntN(len(hosts))]
+					reached := false
+					for attempt := range attempts {
+						if !host.crash(t, prober, "deadly", fmt.Sprint("i-", arrival, attempt)) {
+							break
+						}
+						reached = true
+						if crashes++; crashes == 3 {
+							bound = time.Now().Add(stableWindow)
+						}
+					}
+					if reached && crashes > 3 && time.Now().After(bound) {
+						late++
+					}
+					time.Sleep(time.Duration(200+random.IntN(4500)) * time.Millisecond)
+				}
+				if late > 3 {
+					t.Errorf("seed %d, %d attempts: %d retries reached endpoints later than %v after the third crash", seed, attempts, late, stableWindow)
+				}
+			})
+		}
+	}
+}
+
+// TestCrashTogether crashes many endpoints that run the same request at once. It must
+// not count as deadly: none of the crashes followed another.
+func TestCrashTogether(t *testing.T) {
+	withFleet(t, 14, func(hosts []*host, store *fakeStore, prober *fakeProber) {
+		for index, host := range hosts {
+			host.crash(t, prober, "popular", fmt.Sprint("i-", index))
+		}
+		time.Sleep(3 * time.Second)
+		for _, host := range hosts {
+			if _, err := host.Admit(t.Context(), fingerprint("popular")); err != nil {
+				t.Fatalf("refused after crashes at one moment: %v", err)
+			}
+		}
+		if store.writes > len(hosts) {
+			t.Errorf("%d writes for one suspect", store.writes)
+		}
+		hosts[0].Completed(fingerprint("popular"))
+		time.Sleep(3 * time.Second)
+		hosts[1].crash(t, prober, "popular", "i-99")
+		time.Sleep(3 * time.Second)
+		if _, err := hosts[2].Admit(t.Context(), fingerprint("popular")); err != nil {
+			t.Errorf("refused although it completed between two crashes: %v", err)
+		}
+	})
+}
+
+// TestLostConnections loses connections to endpoints that go on, and crashes endpoints
+// during a request that completes elsewhere. Neither makes a suspect or a call of the
+// store.
+func TestLostConnections(t *testing.T) {
+	withFleet(t, 2, func(hosts []*host, store *fakeStore, prober *fakeProber) {
+		for index := range 10 {
+			run := dispatcher.NewRun(fingerprint("unlucky"), quarantiner.Admission{}, endpoint(fmt.Sprint("i-", index)))
+			_ = hosts[0].Crashed(t.Context(), run)
+		}
+		hosts[0].Completed(fingerprint("healthy"))
+		hosts[0].crash(t, prober, "healthy", "i-99")
+		time.Sleep(3 * time.Second)
+		if store.writes > 0 {
+			t.Errorf("%d writes, want none", store.writes)
+		}
+		if prober.probes != 10 {
+			t.Errorf("%d checks of 10 lost connections", prober.probes)
+		}
+	})
+}
+
+// TestDeadlyRequestInOutage crashes endpoints while the store is unavailable. The host
+// refuses the request by its own record, writes seldom, and the others learn of it once
+// the store is back.
+func TestDeadlyRequestInOutage(t *testing.T) {
+	withFleet(t, 3, func(hosts []*host, store *fakeStore, prober *fakeProber) {
+		store.outage = true
+		for index := range 2 {
+			hosts[0].crash(t, prober, "deadly", fmt.Sprint("i-", index))
+			time.Sleep(time.Second)
+		}
+		if hosts[0].crash(t, prober, "deadly", "i-2") {
+			t.Error("the host that saw two crashes sent the request again")
+		}
+		time.Sleep(18 * time.Second)
+		if store.writes > 10 {
+			t.Errorf("%d writes in an outage of 20 s", store.writes)
+		}
+		store.outage = false
+		time.Sleep(6 * time.Second)
+		if hosts[2].crash(t, prober, "deadly", "i-3") {
+			t.Error("another host sent the request after the outage")
+		}
+	})
+}
