--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -98,7 +98,8 @@
 
 // retryServerError starts another attempt if the best answer is a server error,
 // none is running and the limits allow it. It reports whether to wait for an
-// attempt before returning the best answer.
+// attempt before returning the best answer. The attempt of the best answer may still
+// send its body, which must then be buffered.
 func (race *race) retryServerError() bool {
 	call, dispatcher := race.call, race.dispatcher
 	if race.best.status < http.StatusInternalServerError || !call.plan.repeatable {
@@ -107,7 +108,7 @@
 	if race.running > 0 {
 		return true
 	}
-	if !call.attempts.hasRemaining() || !call.Replayable() || !dispatcher.budget.spend(call.service) {
+	if !call.attempts.hasRemaining() || !call.Buffered() || !dispatcher.budget.spend(call.service) {
 		return false
 	}
 	if err := race.startAttempt(); err != nil {
@@ -149,7 +150,7 @@
 // allow it.
 func (race *race) hedge() {
 	call, dispatcher := race.call, race.dispatcher
-	if race.running != 1 || !call.plan.repeatable || !call.Replayable() || !call.attempts.hasRemaining() {
+	if race.running != 1 || !call.plan.repeatable || !call.Buffered() || !call.attempts.hasRemaining() {
 		return
 	}
 	if !dispatcher.budget.spendForHedge(call.service) {
--- a/internal/dispatcher/race_test.go
+++ b/internal/dispatcher/race_test.go
@@ -194,3 +194,43 @@
 		t.Errorf("%d retries of %d hosts, want at most %.0f", retries, hosts, maxRetries)
 	}
 }
+
+// TestLongBodyHasOneAttempt checks that a body that is not buffered completely is not
+// sent by two attempts at once: each would get parts of it, and run a request that nobody
+// sent (review/2). An endpoint may also answer before it has read the body. A retry after
+// an attempt that has ended without reading the body is allowed.
+func TestLongBodyHasOneAttempt(t *testing.T) {
+	ok, slow := step{after: 100 * time.Millisecond, status: 200}, step{after: time.Second, status: 200}
+	serverError := step{after: 50 * time.Millisecond, status: 500}
+	shed := step{after: 5 * time.Millisecond, failure: NewFailure(Shed, true, nil)}
+	for _, test := range []struct {
+		name  string
+		steps []step
+		want  string
+		sent  int
+	}{
+		{"no hedge", []step{slow, ok}, "200 endpoint-0", 1},
+		{"no retry beside an early answer", []step{serverError, ok}, "500 endpoint-0", 1},
+		{"a retry after a refusal", []step{shed, ok}, "200 endpoint-1", 2},
+	} {
+		for _, length := range []int64{-1, 2 * BufferedBodyBytes} {
+			t.Run(fmt.Sprint(test.name, " of ", length, " bytes"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					scriptedEndpoints := &scriptedEndpoints{steps: test.steps}
+					dispatcher := New(nil, scriptedEndpoints, scriptedEndpoints, &recorder.Recorder{})
+					dispatcher.SetPlanner(NewRoutePlanner(oneRoute{"repeatable"}))
+					dispatcher.SetRetryBudget(0.2, 5)
+					request, err := NewRequest("r-1", "", http.MethodPost, "/x", nil).WithAuthority("a").
+						WithBody(strings.NewReader(strings.Repeat("x", 2*BufferedBodyBytes)), length)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if got := outcomeText(dispatcher.Dispatch(t.Context(), request)); got != test.want || scriptedEndpoints.sent != test.sent {
+						t.Errorf("got %s after %d attempts, want %s after %d", got, scriptedEndpoints.sent, test.want, test.sent)
+					}
+					_ = dispatcher.Close()
+				})
+			})
+		}
+	}
+}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -171,8 +171,13 @@
 	return io.MultiReader(bytes.NewReader(request.buffered), request.remainder)
 }
 
+// Buffered reports whether the body is buffered completely, so that several attempts can
+// send it at the same time.
+func (request *Request) Buffered() bool { return request.remainder == nil }
+
 // Replayable reports whether the body can be sent from its start: it is buffered
-// completely, or nothing beyond the buffered part has been read.
+// completely, or nothing beyond the buffered part has been read. It holds only while no
+// attempt runs that may still read it.
 func (request *Request) Replayable() bool {
 	return request.remainder == nil || !request.remainder.started.Load()
 }
