--- a/internal/launcher/deadly_request_test.go
+++ b/internal/launcher/deadly_request_test.go
@@ -1,7 +1,6 @@
 package launcher
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,74 +22,49 @@
 // crashingEndpoint is an endpoint that ends when it begins to run a request to a path
 // with "deadly".
 type crashingEndpoint struct {
-	name     string
-	listener net.Listener
-	crashes  *atomic.Int64
-	// mu guards connections and ended.
-	mu          sync.Mutex
-	connections []net.Conn
-	ended       bool
+	name    string
+	server  *http.Server
+	crashes *atomic.Int64
 }
 
-// startCrashingEndpoint starts an endpoint, which counts its end in crashes.
-func startCrashingEndpoint(t *testing.T, name string, crashes *atomic.Int64) *crashingEndpoint {
+// startCrashingEndpoint starts an endpoint, which counts its end in crashes, and returns
+// its registration.
+func startCrashingEndpoint(t *testing.T, name string, crashes *atomic.Int64) definer.Endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	crashingEndpoint := &crashingEndpoint{name: name, listener: listener, crashes: crashes}
-	go crashingEndpoint.loop()
-	t.Cleanup(crashingEndpoint.end)
-	return crashingEndpoint
+	endpoint := &crashingEndpoint{name: name, crashes: crashes, server: &http.Server{}}
+	endpoint.server.Handler = platform.NewStubHandler(endpoint)
+	go func() { _ = endpoint.server.Serve(listener) }()
+	t.Cleanup(func() { _ = endpoint.server.Close() })
+	return definer.NewEndpoint(name, "tile-api", listener.Addr().String(), definer.NewPlace("nairobi", "nbo-a"), 4).
+		WithStartedAt(time.Now().UnixMilli())
 }
 
-func (crashingEndpoint *crashingEndpoint) loop() {
-	for {
-		conn, err := crashingEndpoint.listener.Accept()
-		if err != nil {
-			return
-		}
-		crashingEndpoint.mu.Lock()
-		crashingEndpoint.connections = append(crashingEndpoint.connections, conn)
-		if crashingEndpoint.ended {
-			_ = conn.Close()
-		}
-		crashingEndpoint.mu.Unlock()
-		go crashingEndpoint.run(conn)
-	}
-}
+// Name returns the endpoint's name.
+func (crashingEndpoint *crashingEndpoint) Name() string { return crashingEndpoint.name }
 
-// run serves one connection.
-func (crashingEndpoint *crashingEndpoint) run(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		if strings.Contains(request.URL.Path, "deadly") {
-			crashingEndpoint.crashes.Add(1)
-			crashingEndpoint.end()
-			return
-		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Instance-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n", crashingEndpoint.name)
-	}
+// Report returns the report of an idle endpoint.
+func (crashingEndpoint *crashingEndpoint) Report() definer.Report {
+	return definer.NewReport(true, 0, 0, 4, 0)
 }
 
-// end closes the listener and all connections.
-func (crashingEndpoint *crashingEndpoint) end() {
-	crashingEndpoint.mu.Lock()
-	defer crashingEndpoint.mu.Unlock()
-	crashingEndpoint.ended = true
-	_ = crashingEndpoint.listener.Close()
-	for _, conn := range crashingEndpoint.connections {
-		_ = conn.Close()
+// Serve answers a request, or closes the listener and all connections.
+func (crashingEndpoint *crashingEndpoint) Serve(_ context.Context, request platform.StubRequest) platform.Result {
+	answer := platform.Answered(http.StatusOK, []byte("done"))
+	if !strings.Contains(request.Target(), "deadly") {
+		return answer
 	}
+	crashingEndpoint.crashes.Add(1)
+	_ = crashingEndpoint.server.Close()
+	return answer.Cut(0)
 }
 
+// hostName is the name that callers address.
+const hostName = "jepu9.example"
+
 // gatewayText is a settings file of a gateway; its verbs are a name, the addresses of
 // callers, peers, the store, readiness, the directory and metrics.
 const gatewayText = `[host]
@@ -160,13 +133,11 @@
 // send sends a request and returns the status of the answer, or 0 without one.
 func send(address, method, path, body string) int {
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	request, err := platform.NewClientRequest(fmt.Sprint("r-", time.Now().UnixNano()), method, hostName, path, []byte(body), 1500*time.Millisecond)
 	if err != nil {
 		return 0
 	}
-	request.Host = "jepu9.example"
-	request.Header.Set("X-Request-Id", fmt.Sprint("r-", time.Now().UnixNano()))
-	request.Header.Set("X-Deadline-Ms", "1500")
+	request.URL.Host = address
 	response, err := client.Do(request)
 	if err != nil {
 		return 0
@@ -194,12 +165,9 @@
 			store := httptest.NewServer(platform.NewStoreServer(&keyspace, &emulator.FaultInjector{}).Handler())
 			t.Cleanup(store.Close)
 			operator := platform.NewOperator(&keyspace)
-			place := definer.NewPlace("nairobi", "nbo-a")
 			var crashes atomic.Int64
 			for index := range endpoints {
-				endpoint := startCrashingEndpoint(t, fmt.Sprintf("i-%08x", index), &crashes)
-				registered := definer.NewEndpoint(endpoint.name, "tile-api", endpoint.listener.Addr().String(), place, 4)
-				if err := operator.Register(registered.WithStartedAt(time.Now().UnixMilli())); err != nil {
+				if err := operator.Register(startCrashingEndpoint(t, fmt.Sprintf("i-%08x", index), &crashes)); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -208,7 +176,7 @@
 					definer.RouteRepeatable(repeatable), definer.RouteAttempts(2), definer.RouteTimeouts(time.Second, 800*time.Millisecond))
 			}
 			limits := definer.NewCallerLimits(16384, 64<<20, 3*time.Second, 15*time.Second)
-			if err := operator.Publish(1, "jepu9.example", []definer.Route{route("many", true), route("once", false)}, "/health", limits); err != nil {
+			if err := operator.Publish(1, hostName, []definer.Route{route("many", true), route("once", false)}, platform.StubHealthPath, limits); err != nil {
 				t.Fatal(err)
 			}
 			gateways := []string{startGateway(t, "front-nbo-a-1", store.URL), startGateway(t, "front-nbo-a-2", store.URL)}
