--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -103,12 +103,12 @@
 		return answer, nil
 	}
 	exchange.abort()
-	if connection.written == exchange.writtenBefore {
-		return nil, dispatcher.NewFailure(causeOf(ctx, dispatcher.Unconnected), false, err)
-	}
 	failure := new(dispatcher.Failure)
-	if errors.As(err, &failure) {
-		return nil, failure
+	switch {
+	case errors.As(err, &failure):
+		return nil, failure // A response has arrived; another request may use the connection now.
+	case connection.written == exchange.writtenBefore:
+		return nil, dispatcher.NewFailure(causeOf(ctx, dispatcher.Unconnected), false, err)
 	}
 	return nil, dispatcher.NewFailure(causeOf(ctx, dispatcher.ConnectionLost), true, err)
 }
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -223,3 +225,40 @@
 		}
 	})
 }
+
+// TestRejectedConnectionInUse sends requests that are rejected from several tasks over
+// the same connections. Run with the race detector, it guards against a failed attempt
+// using its connection after another has taken it from the pool.
+func TestRejectedConnectionInUse(t *testing.T) {
+	rejection := "HTTP/1.1 503 Busy\r\n" + HeaderRan + ": no\r\nContent-Length: 0\r\n\r\n"
+	const tasks, requests = 4, 50
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		connection, _, err := writer.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		reader := bufio.NewReader(connection)
+		_, err = io.WriteString(connection, rejection)
+		for err == nil {
+			if _, err = http.ReadRequest(reader); err == nil {
+				_, err = io.WriteString(connection, rejection)
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	sender := newSender(t)
+	endpoint := definer.NewEndpoint("ledger-1", "ledger", server.Listener.Addr().String(), definer.Place{}, 4)
+	var wait sync.WaitGroup
+	for range tasks {
+		wait.Go(func() {
+			for range requests {
+				_, err := sender.Send(t.Context(), endpoint, newRequest(t, http.MethodGet, "", nil))
+				if failure := new(dispatcher.Failure); !errors.As(err, &failure) || failure.Cause() != dispatcher.Shed {
+					t.Errorf("got %v, want a rejection", err)
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
