--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -61,7 +61,8 @@
 	conn     net.Conn
 	// reader is used by the task, or by the body of the latest request in phaseBody.
 	reader *bufio.Reader
-	// limits are those of the latest request.
+	// limits are those of the latest request. Only the task changes them; other tasks
+	// read them while they hold mu.
 	limits Limits
 	// ctx is done once the caller has left or the connection has failed; cancel ends
 	// all requests.
@@ -132,7 +133,7 @@
 			connection.readFailed(err)
 			return
 		}
-		connection.limits = connection.acceptor.limiter.Limits()
+		connection.updateLimits()
 		connection.enter(phaseHead)
 		request, err := connection.readRequest(connection.limits.headerBytes)
 		if failed, ok := isStatusError(err); ok {
@@ -243,6 +244,14 @@
 	}
 }
 
+// updateLimits takes over the limits in force.
+func (connection *connection) updateLimits() {
+	limits := connection.acceptor.limiter.Limits()
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	connection.limits = limits
+}
+
 // enter starts a phase.
 func (connection *connection) enter(phase phase) {
 	connection.mu.Lock()
--- a/internal/acceptor/connection_test.go
+++ b/internal/acceptor/connection_test.go
@@ -614,3 +614,23 @@
 		}
 	})
 }
+
+// TestLimitsBesideResponses sends requests behind each other whose answers are ready. Run
+// with the race detector, it guards against the connection's task taking over new limits
+// while the task of the request before sets a deadline by the old ones.
+func TestLimitsBesideResponses(t *testing.T) {
+	fixture := newFixture(t, testLimits)
+	for range 500 {
+		var texts []string
+		for index := range maxPipelined {
+			target := fmt.Sprint("/", index)
+			fixture.answer(target)
+			texts = append(texts, get(target))
+		}
+		fixture.send(t, texts...)
+		for index := range maxPipelined {
+			fixture.expect(t, http.MethodGet, http.StatusOK, fmt.Sprint("/", index), false)
+			<-fixture.started
+		}
+	}
+}
