--- a/internal/router/slot.go
+++ b/internal/router/slot.go
@@ -31,11 +31,11 @@
 
 // slot returns the slot that was granted to waiter.
 func (pool *pool) slot(waiter *waiter, granted decision) *Slot {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
 	if granted.ticket != nil {
 		return &Slot{endpoint: granted.ticket.Endpoint(), releaser: &localSlot{pool: pool, decision: granted}}
 	}
-	pool.mu.Lock()
-	defer pool.mu.Unlock()
 	endpoint := pool.endpoints[granted.loan.endpoint]
 	return &Slot{endpoint: endpoint, releaser: &borrowedSlot{pool: pool, decision: granted, waiter: waiter}}
 }
