--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -22,6 +22,7 @@
 
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/limiter"
 	"github.com/chivespool/chivespool/internal/locator"
 	"github.com/chivespool/chivespool/internal/timekeeper"
 )
@@ -74,6 +75,8 @@
 	connections map[*connection]bool
 	// stopping is true once the connections have been told to stop.
 	stopping bool
+	// bodies counts the bytes of buffered bodies.
+	bodies limiter.Bytes
 	// tasks tracks the tasks of connections, and workers runs those of requests.
 	tasks   sync.WaitGroup
 	workers *workers
--- a/internal/acceptor/connection_test.go
+++ b/internal/acceptor/connection_test.go
@@ -634,3 +634,35 @@
 		}
 	}
 }
+
+// TestBodiesHaveABound checks that a request whose body has no room beside those of others
+// is refused as not run and comes back, and that room is returned. Each body was bounded
+// alone, and their number by descriptors.
+func TestBodiesHaveABound(t *testing.T) {
+	fixture := newFixture(t, testLimits)
+	bodies := &fixture.acceptor.bodies
+	if !bodies.Reserve(maxHeldBodyBytes-4, maxHeldBodyBytes) {
+		t.Fatal("no memory reserved")
+	}
+	fixture.send(t, post("/1", "12345"))
+	fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, "memory for bodies", true)
+	fixture.connect(t)
+	fixture.send(t, post("/2", "1234"))
+	fixture.awaitStart(t, "/2")
+	if held := bodies.Held(); held != maxHeldBodyBytes {
+		t.Errorf("%d bytes are held, want %d", held, maxHeldBodyBytes)
+	}
+	fixture.answer("/2")
+	fixture.expect(t, http.MethodPost, http.StatusOK, "/2", false)
+	fixture.send(t, "POST /s/ledger/3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+	fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, "memory for bodies", true)
+	bodies.Release(maxHeldBodyBytes - 4)
+	fixture.connect(t)
+	fixture.send(t, "POST /s/ledger/4 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+	fixture.awaitStart(t, "/4")
+	if held := bodies.Held(); held != 1 {
+		t.Errorf("a body of 1 byte in chunks holds %d", held)
+	}
+	fixture.answer("/4")
+	fixture.expect(t, http.MethodPost, http.StatusOK, "/4", false)
+}
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -42,6 +42,8 @@
 	limits Limits
 	// size is the number of bytes that the request counts for in its connection.
 	size int
+	// reserved is the number of bytes that the request has reserved for its body.
+	reserved int64
 }
 
 // exchangeKey is the key of the exchange in the context of its request.
@@ -101,9 +103,45 @@
 	exchange.size += int(exchange.body.bytes)
 }
 
+// maxHeldBodyBytes bounds the buffered bodies of all requests together: the number of
+// requests is bounded by descriptors alone.
+const maxHeldBodyBytes = 32 << 20
+
+// bodyRetryAfter is the time after which a caller may come again whose request was
+// refused for lack of memory for its body.
+const bodyRetryAfter = 200 * time.Millisecond
+
+// reserveBody reserves memory for the buffered part of the body. It reports whether
+// there is some.
+func (exchange *exchange) reserveBody() bool {
+	size := exchange.request.ContentLength
+	if size < 0 || size > dispatcher.BufferedBodyBytes {
+		size = dispatcher.BufferedBodyBytes
+	}
+	if !exchange.connection.acceptor.bodies.Reserve(size, maxHeldBodyBytes) {
+		return false
+	}
+	exchange.reserved = size
+	return true
+}
+
+// releaseBody releases the memory that the body has reserved beyond used bytes.
+func (exchange *exchange) releaseBody(used int64) {
+	if spare := exchange.reserved - used; spare > 0 {
+		exchange.connection.acceptor.bodies.Release(spare)
+		exchange.reserved = used
+	}
+}
+
 // readBody attaches the body to the request for the dispatcher. Handlers of other paths
 // read the same body.
 func (exchange *exchange) readBody() {
+	if !exchange.reserveBody() {
+		exchange.decodeErr = refuser.New(refuser.KindOverloaded, refuser.NotRun,
+			"the bodies of other requests take all memory for bodies").WithRetryAfter(bodyRetryAfter)
+		return
+	}
+	defer func() { exchange.releaseBody(exchange.body.bytes) }()
 	request, err := exchange.decoded.WithBody(exchange.request.Body, exchange.request.ContentLength)
 	if err != nil {
 		exchange.decodeErr = badRequest("the body broke off").WithCause(err)
@@ -171,6 +209,7 @@
 // finish ends the exchange.
 func (exchange *exchange) finish() {
 	exchange.body.close()
+	exchange.releaseBody(0)
 	exchange.response.release()
 	exchange.connection.remove(exchange)
 	close(exchange.done)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/limiter"
 	"github.com/chivespool/chivespool/internal/recorder"
 	"github.com/chivespool/chivespool/internal/refuser"
 	"github.com/chivespool/chivespool/internal/router"
@@ -92,6 +93,8 @@
 	quarantiner Quarantiner
 	budget      Budget
 	meters      meters
+	// answers counts the bytes of buffered answers.
+	answers limiter.Bytes
 	// bufferedBytes is the size up to which the answer to a repeatable request is
 	// buffered; 0 for BufferedAnswerBytes.
 	bufferedBytes int64
@@ -205,8 +208,12 @@
 	return slot, err
 }
 
+// maxHeldAnswerBytes bounds the buffered answers of all requests together.
+const maxHeldAnswerBytes = 32 << 20
+
 // bufferAnswer reads a small answer completely, so that a truncation is detected
-// before any of it has gone to the caller. The answer is closed on failure.
+// before any of it has gone to the caller, unless other answers take all memory for
+// buffers. The answer is closed on failure.
 func (dispatcher *Dispatcher) bufferAnswer(answer *Answer, repeatable bool) (*Answer, error) {
 	limit, anyLength := int64(BufferedAnswerBytes), false
 	if repeatable && dispatcher.bufferedBytes > 0 {
@@ -215,6 +222,28 @@
 	if answer.length > limit || (answer.length < 0 && !anyLength) {
 		return answer, nil
 	}
+	reserved := limit
+	if answer.length >= 0 {
+		reserved = answer.length
+	}
+	if !dispatcher.answers.Reserve(reserved, maxHeldAnswerBytes) {
+		return answer, nil
+	}
+	answer, err := readAnswer(answer, limit)
+	if err != nil {
+		dispatcher.answers.Release(reserved)
+		return nil, err
+	}
+	if answer.length >= 0 {
+		dispatcher.answers.Release(reserved - answer.length)
+		reserved = answer.length
+	}
+	answer.body = &heldBody{ReadCloser: answer.body, held: &dispatcher.answers, size: reserved}
+	return answer, nil
+}
+
+// readAnswer reads the first limit bytes of an answer into memory.
+func readAnswer(answer *Answer, limit int64) (*Answer, error) {
 	body := bytes.NewBuffer(make([]byte, 0, max(answer.length, 0)+bytes.MinRead))
 	_, err := body.ReadFrom(io.LimitReader(answer.body, limit))
 	if err == nil && int64(body.Len()) == limit && answer.length != limit {
@@ -238,6 +267,21 @@
 	return answer, nil
 }
 
+// heldBody is a body whose memory is reserved until it is closed.
+type heldBody struct {
+	io.ReadCloser
+	held *limiter.Bytes
+	// size is the number of bytes that are reserved.
+	size   int64
+	closed sync.Once
+}
+
+// Close closes the body and releases its memory.
+func (heldBody *heldBody) Close() error {
+	heldBody.closed.Do(func() { heldBody.held.Release(heldBody.size) })
+	return heldBody.ReadCloser.Close()
+}
+
 // expectEOF reads the end of a body whose bytes have all been read.
 func expectEOF(body io.Reader) error {
 	var buffer [1]byte
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -66,18 +66,22 @@
 	if length > 0 && length < size {
 		size = length
 	}
-	buffered := make([]byte, size)
-	count, err := io.ReadFull(body, buffered)
-	clone.buffered = buffered[:count]
+	// A body in chunks takes as much memory as it needs, not as it may need.
+	var buffered bytes.Buffer
+	if length > 0 {
+		buffered.Grow(int(size) + bytes.MinRead)
+	}
+	count, err := buffered.ReadFrom(io.LimitReader(body, size))
+	clone.buffered = buffered.Bytes()
 	switch {
-	case err == io.EOF || err == io.ErrUnexpectedEOF:
+	case err != nil:
+		return nil, err
+	case count < size:
 		if length >= 0 {
 			return nil, io.ErrUnexpectedEOF
 		}
-		clone.length = int64(count)
-	case err != nil:
-		return nil, err
-	case int64(count) != length:
+		clone.length = count
+	case count != length:
 		clone.remainder = &readTracker{reader: body}
 	}
 	return &clone, nil
