--- a/internal/launcher/deadly_request_test.go
+++ b/internal/launcher/deadly_request_test.go
@@ -66,7 +66,8 @@
 const hostName = "jepu9.example"
 
 // gatewayText is a settings file of a gateway; its verbs are a name, the addresses of
-// callers, peers, the store, readiness, the directory and metrics.
+// callers, peers, the store, readiness, the directory and metrics, and the bound of a
+// planned stop.
 const gatewayText = `[host]
 name = %s
 region = nairobi
@@ -90,7 +91,7 @@
 retry-share = 0.2
 
 [leaving]
-bound = 1s
+bound = %v
 
 [peers]
 plain = yes
@@ -110,7 +111,7 @@
 		_ = listener.Close()
 	}
 	file := filepath.Join(t.TempDir(), "gateway.ini")
-	text := fmt.Sprintf(gatewayText, name, addresses[0], addresses[1], store, addresses[2], addresses[3], addresses[4])
+	text := fmt.Sprintf(gatewayText, name, addresses[0], addresses[1], store, addresses[2], addresses[3], addresses[4], time.Second)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/launcher/drainer_test.go
+++ b/internal/launcher/drainer_test.go
@@ -8,36 +8,14 @@
 	"github.com/chivespool/chivespool/internal/loader"
 )
 
-// leavingSettings are the required settings and the bound of a planned stop.
-const leavingSettings = `[host]
-name = front-a-1
-region = nairobi
-data-centre = nbo-a
-address = 127.0.0.1:7001
-peer-address = 127.0.0.1:7002
-
-[platform]
-store = http://127.0.0.1:7901
-
-[gateway]
-ready-address = 127.0.0.1:7003
-directory-address = 127.0.0.1:7004
-metrics-address = 127.0.0.1:7005
-data-centres = nbo-a=nairobi
-apply-bound = 2000ms
-retry-slack = 56
-
-[leaving]
-bound = %v
-`
-
 // TestAcceptTime checks the division of a planned stop at each bound. Of requests that
 // are sent later than 3 s after the stop, none may be cut off, so none may be accepted
 // then: with a bound of 10 s, they were for 4.8 s.
 func TestAcceptTime(t *testing.T) {
 	const lastUncut = 3 * time.Second
 	for _, bound := range []time.Duration{time.Second, 2 * time.Second, 6 * time.Second, 10 * time.Second, 30 * time.Second, time.Hour} {
-		settings, err := loader.Parse("gateway.ini", fmt.Appendf(nil, leavingSettings, bound))
+		settings, err := loader.Parse("gateway.ini", fmt.Appendf(nil, gatewayText, "front-nbo-a-1", "127.0.0.1:1", "127.0.0.1:2",
+			"http://127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5", "127.0.0.1:6", bound))
 		if err != nil {
 			t.Fatal(err)
 		}
