--- a/internal/launcher/suspects.go
+++ b/internal/launcher/suspects.go
@@ -27,7 +27,7 @@
 // suspectLimits returns the limits of a gateway's quarantiner.
 func suspectLimits() quarantiner.Limits {
 	return quarantiner.DefaultLimits().WithSuspicion(suspectPeriod).WithMaxSuspects(maxSuspects).
-		WithPoll(suspectInterval).WithMaxWait(suspectTimeout).WithoutTrials()
+		WithPoll(suspectInterval).WithMaxWait(suspectTimeout).WithRetry(suspectTimeout).WithoutTrials()
 }
 
 // suspectStore gives the quarantiner the list of suspects. The tracker's copy of the
--- a/internal/quarantiner/limits.go
+++ b/internal/quarantiner/limits.go
@@ -13,7 +13,9 @@
 	maxSuspects     int
 	pollInterval    time.Duration
 	maxWait         time.Duration
-	withoutTrials   bool
+	// retryInterval follows a failed read or write; 0 for pollInterval.
+	retryInterval time.Duration
+	withoutTrials bool
 }
 
 // DefaultLimits returns the limits used where none are set.
@@ -52,6 +54,13 @@
 	return limits
 }
 
+// WithRetry sets the interval after which a host reads and writes the list again when the
+// store did not answer.
+func (limits Limits) WithRetry(retryInterval time.Duration) Limits {
+	limits.retryInterval = retryInterval
+	return limits
+}
+
 // WithoutTrials makes suspects run without a trial, so that a request that happened to
 // run on a server that crashed is not held back.
 func (limits Limits) WithoutTrials() Limits {
--- a/internal/quarantiner/synchronize.go
+++ b/internal/quarantiner/synchronize.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -24,7 +25,7 @@
 	for ctx.Err() == nil {
 		wait := limits.pollInterval
 		if !quarantiner.synchronize(ctx, limits) {
-			wait = limits.maxWait
+			wait = cmp.Or(limits.retryInterval, limits.pollInterval)
 		}
 		await(ctx, quarantiner.wake, wait)
 	}
