--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -136,8 +136,8 @@
 		for range count {
 			inner := &quarantiner.Quarantiner{}
 			inner.SetStore(&fakeCopy{store: store})
-			inner.SetLimits(quarantiner.DefaultLimits().WithPoll(500*time.Millisecond).
-				WithRetry(4*time.Second).WithoutTrials())
+			inner.SetLimits(quarantiner.DefaultLimits().WithPoll(500 * time.Millisecond).
+				WithRetry(4 * time.Second).WithoutTrials())
 			host := &host{Verifier: New(inner, prober, discardJournal{})}
 			host.run(ctx, inner)
 			host.run(ctx, host.Verifier)
