--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -22,6 +22,9 @@
 	inFlight int
 	slots    int
 	endpoint string
+	// held is the memory that the buffered part of the body holds until the answer is
+	// closed; nil if nothing is buffered.
+	held *reservation
 	// cancel cancels the request's remaining work; may be nil.
 	cancel context.CancelFunc
 }
@@ -65,6 +68,9 @@
 // io.EOF cancels the rest of the response.
 func (answer *Answer) Close() error {
 	err := answer.body.Close()
+	if answer.held != nil {
+		answer.held.release()
+	}
 	if answer.cancel != nil {
 		answer.cancel()
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -238,7 +238,7 @@
 		dispatcher.answers.Release(reserved - answer.length)
 		reserved = answer.length
 	}
-	answer.body = &heldBody{ReadCloser: answer.body, held: &dispatcher.answers, size: reserved}
+	answer.held = &reservation{bytes: &dispatcher.answers, size: reserved}
 	return answer, nil
 }
 
@@ -267,19 +267,17 @@
 	return answer, nil
 }
 
-// heldBody is a body whose memory is reserved until it is closed.
-type heldBody struct {
-	io.ReadCloser
-	held *limiter.Bytes
+// reservation is the memory that an answer holds.
+type reservation struct {
+	bytes *limiter.Bytes
 	// size is the number of bytes that are reserved.
-	size   int64
-	closed sync.Once
+	size     int64
+	released sync.Once
 }
 
-// Close closes the body and releases its memory.
-func (heldBody *heldBody) Close() error {
-	heldBody.closed.Do(func() { heldBody.held.Release(heldBody.size) })
-	return heldBody.ReadCloser.Close()
+// release releases the memory. Further calls have no effect.
+func (reservation *reservation) release() {
+	reservation.released.Do(func() { reservation.bytes.Release(reservation.size) })
 }
 
 // expectEOF reads the end of a body whose bytes have all been read.
--- a/internal/dispatcher/memory_test.go
+++ b/internal/dispatcher/memory_test.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
+
+	"github.com/chivespool/chivespool/internal/claimer"
 )
 
 // TestBuffersOfAnswers holds many answers that callers do not read. Each answer was
@@ -56,3 +59,21 @@
 		t.Errorf("the buffer has %d bytes", cap(request.buffered))
 	}
 }
+
+// TestBufferedAnswerIsRecorded checks that a buffered answer to a request with a key is
+// recorded with its body, so that a repeated request gets it.
+func TestBufferedAnswerIsRecorded(t *testing.T) {
+	var dispatcher Dispatcher
+	answer, err := dispatcher.bufferAnswer(NewAnswer(http.StatusOK, nil, 4, io.NopCloser(strings.NewReader("done"))), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	outcome := outcomeOf(answer, nil)
+	if want := claimer.Answered(http.StatusOK, nil, []byte("done")); !reflect.DeepEqual(outcome, want) {
+		t.Errorf("recorded %+v, want %+v", outcome, want)
+	}
+	_ = answer.Close()
+	if held := dispatcher.answers.Held(); held != 0 {
+		t.Errorf("%d bytes are held after the answer was closed", held)
+	}
+}
