--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -73,10 +74,10 @@
 // Announce delivers list to the hosts that are not disconnected.
 func (fakeHost *fakeHost) Announce(_ context.Context, list []byte) error {
 	fakeHost.fleet.mu.Lock()
-	disconnected := fakeHost.fleet.disconnected
+	disconnected, hosts := fakeHost.fleet.disconnected, maps.Clone(fakeHost.fleet.hosts)
 	fakeHost.fleet.mu.Unlock()
 	var failed error
-	for name, other := range fakeHost.fleet.hosts {
+	for name, other := range hosts {
 		if strings.Contains(disconnected, name) {
 			failed = errors.New("a host is disconnected")
 			continue
@@ -93,7 +94,7 @@
 	cancel context.CancelFunc
 	// pending holds the results of commands started in the background.
 	pending map[string]chan string
-	// mu guards disconnected.
+	// mu guards disconnected, and hosts towards the tasks of hosts: only the test changes it.
 	mu sync.Mutex
 	// disconnected names the hosts that receive no announcements.
 	disconnected string
@@ -179,7 +180,9 @@
 		joined := &fakeHost{fleet: fleet, done: make(chan struct{})}
 		close(joined.done)
 		joined.SetStore(&fleet.store)
+		fleet.mu.Lock()
 		fleet.hosts[host] = joined
+		fleet.mu.Unlock()
 	case "cut":
 		fleet.mu.Lock()
 		fleet.disconnected = arg("hosts")
