acceptor: a stop logs its stages and each request that it cuts

The log had one line with the number of connections that were interrupted. Now it has a line for each stage of the stop and one for each request that ends without its whole answer: its id, its stage (body, waiting, dispatched, answering), its age and its timeout. No change of behaviour.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -163,7 +163,9 @@
 	err = acceptor.acceptAll(ctx, listener)
 	stop()
 	_ = listener.Close()
+	klog.InfoS("accepts no more connections", "address", acceptor.address, "open", len(acceptor.openConnections()))
 	acceptor.awaitConnections()
+	klog.InfoS("all connections have ended", "address", acceptor.address)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -260,13 +262,16 @@
 	_ = acceptor.workers.Close()
 }
 
+// errStopTimeout is why a connection ends when the stop timeout has passed.
+var errStopTimeout = errors.New("the stop timeout has passed")
+
 // endConnections ends all connections and cancels their requests.
 func (acceptor *Acceptor) endConnections() {
 	open := acceptor.openConnections()
 	klog.ErrorS(nil, "shutdown timed out, aborting the requests in flight; raise [leaving] bound",
 		"bound", acceptor.stopTimeout, "connections", len(open))
 	for _, connection := range open {
-		connection.cancel()
+		connection.cancelCause(errStopTimeout)
 	}
 }
 
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -64,10 +64,10 @@
 	// limits are those of the latest request. Only the task changes them; other tasks
 	// read them while they hold mu.
 	limits Limits
-	// ctx is done once the caller has left or the connection has failed; cancel ends
-	// all requests.
-	ctx    context.Context
-	cancel context.CancelFunc
+	// ctx is done once the caller has left or the connection has failed; cancelCause
+	// ends all requests.
+	ctx         context.Context
+	cancelCause context.CancelCauseFunc
 	// exchanges tracks the tasks of requests.
 	exchanges sync.WaitGroup
 	// latest is closed once the response to the latest request has been written, and
@@ -98,14 +98,17 @@
 }()
 
 func newConnection(acceptor *Acceptor, conn net.Conn) *connection {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	return &connection{
 		acceptor: acceptor, conn: conn, reader: bufio.NewReaderSize(conn, readerBytes),
-		limits: acceptor.limiter.Limits(), ctx: ctx, cancel: cancel,
+		limits: acceptor.limiter.Limits(), ctx: ctx, cancelCause: cancel,
 		latest: alwaysClosed, barrier: alwaysClosed, freed: make(chan struct{}, 1),
 	}
 }
 
+// cancel ends all requests, since the caller has left or the connection has failed.
+func (connection *connection) cancel() { connection.cancelCause(context.Canceled) }
+
 // run serves the connection until it has ended and all its requests have.
 func (connection *connection) run() {
 	defer connection.acceptor.remove(connection)
@@ -146,7 +149,11 @@
 		}
 		connection.enter(phaseBody)
 		exchange := newExchange(connection, request, nil)
-		if !connection.accept(exchange) || request.Close || !request.ProtoAtLeast(1, 1) {
+		accepted := connection.accept(exchange)
+		if !accepted {
+			exchange.logCut()
+		}
+		if !accepted || request.Close || !request.ProtoAtLeast(1, 1) {
 			return
 		}
 		select {
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -44,6 +44,44 @@
 	size int
 	// reserved is the number of bytes that the request has reserved for its body.
 	reserved int64
+	// stage is how far the request has come. The connection's task changes it until the
+	// request is accepted, the request's task after that.
+	stage stage
+}
+
+// stage is a part of the processing of a request.
+type stage int
+
+const (
+	// stageBody reads the buffered part of the body.
+	stageBody stage = iota
+	// stageWaiting waits for requests of the same connection.
+	stageWaiting
+	// stageDispatched has passed the request to its handler.
+	stageDispatched
+	// stageAnswering writes the response.
+	stageAnswering
+	// stageAnswered has written the response.
+	stageAnswered
+)
+
+// String returns the stage as it is logged.
+func (stage stage) String() string {
+	return [...]string{"body", "waiting", "dispatched", "answering", "answered"}[stage]
+}
+
+// logCut logs the request if its connection ends before the response because the stop
+// timeout has passed.
+func (exchange *exchange) logCut() {
+	if exchange.stage == stageAnswered || context.Cause(exchange.connection.ctx) != errStopTimeout {
+		return
+	}
+	details := []any{"stage", exchange.stage.String(), "body-bytes", exchange.body.bytes}
+	if request := exchange.decoded; request != nil {
+		age := exchange.connection.acceptor.clock.Now().Sub(request.Arrived())
+		details = append(details, "request", request.ID(), "age", age, "timeout", request.Timeout())
+	}
+	klog.ErrorS(nil, "request cut by the stop; raise [leaving] bound", details...)
 }
 
 // exchangeKey is the key of the exchange in the context of its request.
@@ -157,9 +195,11 @@
 func (exchange *exchange) run() {
 	defer exchange.finish()
 	defer exchange.recover()
+	exchange.stage = stageWaiting
 	if !exchange.awaitOrder() {
 		return
 	}
+	exchange.stage = stageDispatched
 	if exchange.failed != nil {
 		exchange.response.header.Set("Content-Type", "text/plain; charset=utf-8")
 		exchange.response.WriteHeader(exchange.failed.status)
@@ -209,6 +249,7 @@
 // finish ends the exchange.
 func (exchange *exchange) finish() {
 	exchange.body.close()
+	exchange.logCut()
 	exchange.releaseBody(0)
 	exchange.response.release()
 	exchange.connection.remove(exchange)
--- a/internal/acceptor/response.go
+++ b/internal/acceptor/response.go
@@ -108,6 +108,7 @@
 		return errConnectionEnded
 	}
 	response.sent = true
+	exchange.stage = stageAnswering
 	response.writer = writers.Get().(*bufio.Writer)
 	response.writer.Reset(exchange.connection)
 	request, header := exchange.request, response.header
@@ -167,7 +168,9 @@
 	if response.chunked {
 		_, _ = response.writer.WriteString("0\r\n\r\n")
 	}
-	_ = response.writer.Flush() // A failure has ended the connection.
+	if response.writer.Flush() == nil { // A failure has ended the connection.
+		response.exchange.stage = stageAnswered
+	}
 }
 
 // abort ends the connection within the response. One whose end is the end of the
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -133,6 +133,9 @@
 // Authority returns the host name that the caller addressed, or empty.
 func (request *Request) Authority() string { return request.authority }
 
+// Timeout returns the limit set by the caller, or 0.
+func (request *Request) Timeout() time.Duration { return request.timeout }
+
 // Arrived returns when the request arrived; zero if it has not been dispatched yet.
 func (request *Request) Arrived() time.Time { return request.arrived }
 
--- a/internal/launcher/drainer.go
+++ b/internal/launcher/drainer.go
@@ -54,5 +54,6 @@
 	gateway.leaving.Store(true)
 	gateway.enroller.Leave()
 	<-hold.C
+	klog.InfoS("ends accepting requests", "host", gateway.self.Name(), "drain", gateway.drainTime())
 	return nil
 }
