acceptor: a stop drops no request that is being read behind another

Cause: whether an answer announces the close depended on the newest accepted request. A request is accepted only once its header and the buffered part of its body are read; one that was being read was dropped after that.

Now the announcement waits while a request is read, and the last one that is accepted carries it.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -83,6 +83,8 @@
 	pipelined, pipelinedBytes int
 	// newest is the latest request that was accepted.
 	newest *exchange
+	// begun is true while a request is read that has not been accepted.
+	begun bool
 	// closing is true once a response announces that the connection closes. No request
 	// is accepted after that.
 	closing bool
@@ -192,7 +194,7 @@
 	if connection.closing || connection.ctx.Err() != nil {
 		return false
 	}
-	connection.newest = exchange
+	connection.newest, connection.begun = exchange, false
 	connection.pipelined++
 	connection.pipelinedBytes += exchange.size
 	exchange.previous, exchange.barrier = connection.latest, connection.barrier
@@ -230,12 +232,12 @@
 
 // closesAfter decides whether the connection closes after the response of exchange,
 // whose header is about to be written. It does if it must, and after the newest
-// request if no more are accepted.
+// request if no more are accepted and none is being read.
 func (connection *connection) closesAfter(exchange *exchange, must bool) bool {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
-	ending := connection.stopping || connection.phase == phaseEnd || connection.acceptor.isLeaving()
-	if must || ending && connection.newest == exchange {
+	last := connection.phase == phaseEnd || (connection.stopping || connection.acceptor.isLeaving()) && !connection.begun
+	if must || last && connection.newest == exchange {
 		connection.closing = true
 	}
 	return connection.closing
@@ -264,6 +266,7 @@
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	connection.phase = phase
+	connection.begun = connection.begun || phase == phaseHead
 	connection.updateDeadline()
 }
 
