acceptor: no request is read that can't be answered any more

Two ways: the host announced the end of its side of an idle connection and then read and discarded what came for 0.5 s; and on a busy processor the read deadline is noticed before bytes that have arrived, which were discarded as well.

Now a connection that ends without an announced close is closed without reading on, so that its caller sees a reset and knows that the request has not been read; and bytes that have arrived when the deadline passes are read and served. A connection whose last response announces the close is still read until its caller closes it, since a reset could cost the caller that response.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -2,15 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
 
@@ -75,6 +79,9 @@
 	latest, barrier <-chan struct{}
 	// freed receives an item when a request ends.
 	freed chan struct{}
+	// unread is true if the connection ends without an announcement: what its caller may
+	// still send is not read, since it would go unanswered. Only the task uses it.
+	unread bool
 
 	// mu guards the fields below and the read deadline.
 	mu    sync.Mutex
@@ -134,7 +141,7 @@
 func (connection *connection) serve() {
 	for {
 		connection.enter(phaseIdle)
-		if _, err := connection.reader.Peek(1); err != nil {
+		if _, err := connection.reader.Peek(1); err != nil && !(isTimeout(err) && connection.readArrived()) {
 			connection.readFailed(err)
 			return
 		}
@@ -168,12 +175,48 @@
 	}
 }
 
-// readFailed processes an error of reading between two requests: the caller has
-// left, or it has sent nothing for too long.
+// readFailed processes an error of reading between two requests or in a header: the
+// caller has left, or it has sent nothing for too long.
 func (connection *connection) readFailed(err error) {
 	if !isTimeout(err) {
 		connection.cancel()
+		return
+	}
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	connection.unread = !connection.closing
+}
+
+// readArrived reads what has arrived by now although the read deadline has passed, and
+// reports whether there is something. On a busy processor the deadline may pass before a
+// read finds the bytes that wait for it.
+func (connection *connection) readArrived() bool {
+	conn, ok := connection.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil || !connection.clearDeadline() {
+		return false
 	}
+	var buffer [readerBytes]byte
+	count := 0
+	err = raw.Read(func(fd uintptr) bool {
+		count, _ = unix.Read(int(fd), buffer[:]) // A later read reports the error again.
+		return true
+	})
+	if err != nil || count <= 0 {
+		return false
+	}
+	connection.reader.Reset(io.MultiReader(bytes.NewReader(buffer[:count]), connection.conn))
+	return true
+}
+
+// clearDeadline removes the read deadline. It returns false if the connection has ended.
+func (connection *connection) clearDeadline() bool {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	return connection.ctx.Err() == nil && connection.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
@@ -323,6 +366,10 @@
 // has left.
 func (connection *connection) end() {
 	connection.enter(phaseEnd)
+	if connection.unread {
+		connection.exchanges.Wait()
+		return
+	}
 	var buffer [512]byte
 	for {
 		if _, err := connection.reader.Read(buffer[:]); err != nil {
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -1,11 +1,130 @@
 package acceptor
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
+// wrappingListener changes the connections that it accepts.
+type wrappingListener struct {
+	*net.TCPListener
+	wrap func(conn *net.TCPConn) net.Conn
+	// accepting, if set, is called before each Accept; an error is returned in place of a
+	// connection.
+	accepting func() error
+}
+
+// Accept accepts a connection.
+func (wrappingListener *wrappingListener) Accept() (net.Conn, error) {
+	if wrappingListener.accepting != nil {
+		if err := wrappingListener.accepting(); err != nil {
+			return nil, err
+		}
+	}
+	conn, err := wrappingListener.AcceptTCP()
+	if err != nil || wrappingListener.wrap == nil {
+		return conn, err
+	}
+	return wrappingListener.wrap(conn), nil
+}
+
+// newWrappedFixture returns a fixture whose listener is changed before it is used.
+func newWrappedFixture(t *testing.T, change func(*wrappingListener)) *fixture {
+	t.Helper()
+	return newFixtureWith(t, testLimits, func(acceptor *Acceptor) {
+		listener := &wrappingListener{TCPListener: acceptor.listener.(*net.TCPListener)}
+		change(listener)
+		acceptor.SetListener(listener)
+	})
+}
+
+// countingConn counts the bytes read.
+type countingConn struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+// Read reads and counts.
+func (countingConn *countingConn) Read(buffer []byte) (int, error) {
+	count, err := countingConn.Conn.Read(buffer)
+	countingConn.count.Add(int64(count))
+	return count, err
+}
+
+// CloseWrite closes the write side.
+func (countingConn *countingConn) CloseWrite() error {
+	return countingConn.Conn.(*net.TCPConn).CloseWrite()
+}
+
+// TestRequestBehindIdleClose sends a request on a connection that a stop has closed while
+// it was idle. It was read and discarded, so that its caller could not know that it had
+// not run.
+func TestRequestBehindIdleClose(t *testing.T) {
+	var count atomic.Int64
+	fixture := newWrappedFixture(t, func(listener *wrappingListener) {
+		listener.wrap = func(conn *net.TCPConn) net.Conn { return &countingConn{Conn: conn, count: &count} }
+	})
+	fixture.send(t, get("/1"))
+	fixture.answer("/1")
+	fixture.awaitStart(t, "/1")
+	fixture.expect(t, http.MethodGet, http.StatusOK, "/1", false)
+	fixture.stop()
+	fixture.expectEnd(t)
+	_, _ = io.WriteString(fixture.conn, post("/2", "pay")) // The connection may have been reset.
+	fixture.awaitStop(t)
+	if read := count.Load(); read != int64(len(get("/1"))) {
+		t.Errorf("%d bytes were read, want the %d of the first request", read, len(get("/1")))
+	}
+}
+
+// awaitStop waits until the acceptor has stopped.
+func (fixture *fixture) awaitStop(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-fixture.stopped:
+		fixture.stopped <- err
+	case <-time.After(5 * time.Second):
+		t.Fatal("the acceptor does not stop")
+	}
+}
+
+// lateConn reports a passed read deadline in place of its first read.
+type lateConn struct {
+	*net.TCPConn
+	// late receives an item when the first Read is to end.
+	late     <-chan struct{}
+	reported bool
+}
+
+// Read reads, unless the deadline is to be reported.
+func (lateConn *lateConn) Read(buffer []byte) (int, error) {
+	if !lateConn.reported {
+		lateConn.reported = true
+		<-lateConn.late
+		return 0, os.ErrDeadlineExceeded
+	}
+	return lateConn.TCPConn.Read(buffer)
+}
+
+// TestBytesBehindPassedDeadline sends a request on an idle connection whose read deadline
+// is noticed before the bytes that have arrived. The request was discarded.
+func TestBytesBehindPassedDeadline(t *testing.T) {
+	late := make(chan struct{})
+	fixture := newWrappedFixture(t, func(listener *wrappingListener) {
+		listener.wrap = func(conn *net.TCPConn) net.Conn { return &lateConn{TCPConn: conn, late: late} }
+	})
+	fixture.send(t, get("/1"))
+	late <- struct{}{}
+	fixture.awaitStart(t, "/1")
+	fixture.answer("/1")
+	fixture.expect(t, http.MethodGet, http.StatusOK, "/1", false)
+}
+
 // TestRequestReadAtStop checks that the response before a request that is being read does
 // not announce that the connection closes. It did, and the request was dropped.
 func TestRequestReadAtStop(t *testing.T) {
