acceptor: connections that wait when the listener's deadline passes are accepted

Cause: on a busy processor the deadline passes before the task that accepts runs again, and Accept reports a passed deadline without looking for connections.

Now it tries once more with a new deadline. TestConnectionsWaitAtStop failed before (the request was not started).

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -196,21 +196,33 @@
 // stopAccepting makes listener accept connections for only a short time, and tells
 // the connections to stop.
 func (acceptor *Acceptor) stopAccepting(listener net.Listener) {
+	acceptor.limitAccepting(listener)
+	acceptor.stopConnections()
+}
+
+// limitAccepting makes listener accept connections for lastAcceptTime.
+func (acceptor *Acceptor) limitAccepting(listener net.Listener) {
 	limited, ok := listener.(interface{ SetDeadline(time.Time) error })
 	if !ok || limited.SetDeadline(time.Now().Add(lastAcceptTime)) != nil {
 		_ = listener.Close()
 	}
-	acceptor.stopConnections()
 }
 
 // acceptAll accepts connections until listener is closed or its deadline passes.
 func (acceptor *Acceptor) acceptAll(ctx context.Context, listener net.Listener) error {
-	for {
+	for emptied := false; ; {
 		conn, err := listener.Accept()
 		if err == nil {
 			acceptor.add(newConnection(acceptor, conn))
 			continue
 		}
+		if isTimeout(err) && !emptied {
+			// On a busy processor the deadline may pass before waiting connections are
+			// accepted.
+			emptied = true
+			acceptor.limitAccepting(listener)
+			continue
+		}
 		if isTimeout(err) || errors.Is(err, net.ErrClosed) {
 			return err
 		}
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -125,6 +125,29 @@
 	fixture.expect(t, http.MethodGet, http.StatusOK, "/1", false)
 }
 
+// TestConnectionsWaitAtStop opens a connection that is not accepted before the listener's
+// deadline has passed. It was reset.
+func TestConnectionsWaitAtStop(t *testing.T) {
+	var fixture *fixture
+	held, passed := make(chan struct{}), false
+	fixture = newWrappedFixture(t, func(listener *wrappingListener) {
+		listener.accepting = func() error {
+			if <-held; passed {
+				return nil
+			}
+			passed = true
+			time.Sleep(2 * lastAcceptTime)
+			return os.ErrDeadlineExceeded
+		}
+	})
+	fixture.send(t, get("/1"))
+	fixture.stop()
+	close(held)
+	fixture.awaitStart(t, "/1")
+	fixture.answer("/1")
+	fixture.expect(t, http.MethodGet, http.StatusOK, "/1", true)
+}
+
 // TestRequestReadAtStop checks that the response before a request that is being read does
 // not announce that the connection closes. It did, and the request was dropped.
 func TestRequestReadAtStop(t *testing.T) {
