acceptor: the end of a stop answers the requests that are left

Cause: the stop timeout cancelled the connections, and with them the responses.

The connections end 0.1 s later. TestStopEndsWithAnswers failed before (unexpected EOF).

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -264,25 +264,38 @@
 	}
 }
 
-// awaitConnections stops all connections and waits until they have ended. It ends those
-// that are left after the stop timeout.
+// awaitConnections stops all connections and waits until they have ended. It gives up
+// the requests that are left once their time is over.
 func (acceptor *Acceptor) awaitConnections() {
 	acceptor.stopConnections()
-	timer := time.AfterFunc(acceptor.stopTimeout, acceptor.endConnections)
+	timer := time.AfterFunc(acceptor.stopTimeout, acceptor.giveUp)
 	defer timer.Stop()
 	acceptor.tasks.Wait()
 	_ = acceptor.workers.Close()
 }
 
-// errStopTimeout is why a connection ends when the stop timeout has passed.
-var errStopTimeout = errors.New("the stop timeout has passed")
+// lastAnswerTime is how long connections whose requests have been given up stay open, to
+// answer their callers.
+const lastAnswerTime = 100 * time.Millisecond
 
-// endConnections ends all connections and cancels their requests.
-func (acceptor *Acceptor) endConnections() {
+// errStopTimeout is why requests are given up and connections ended at the end of a
+// stop.
+var errStopTimeout = errors.New("the time of the stop is over")
+
+// giveUp gives up all requests, and ends the connections once their callers have had
+// time to be told.
+func (acceptor *Acceptor) giveUp() {
 	open := acceptor.openConnections()
+	if len(open) == 0 {
+		return
+	}
 	klog.ErrorS(nil, "shutdown timed out, aborting the requests in flight; raise [leaving] bound",
-		"bound", acceptor.stopTimeout, "connections", len(open))
+		"address", acceptor.address, "connections", len(open))
 	for _, connection := range open {
+		connection.giveUp()
+	}
+	time.Sleep(lastAnswerTime)
+	for _, connection := range acceptor.openConnections() {
 		connection.cancelCause(errStopTimeout)
 	}
 }
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -72,6 +72,10 @@
 	// ends all requests.
 	ctx         context.Context
 	cancelCause context.CancelCauseFunc
+	// requests is done once the requests are given up, which cancelRequests does: they
+	// get refusals as their responses.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 	// exchanges tracks the tasks of requests.
 	exchanges sync.WaitGroup
 	// latest is closed once the response to the latest request has been written, and
@@ -108,9 +112,11 @@
 
 func newConnection(acceptor *Acceptor, conn net.Conn) *connection {
 	ctx, cancel := context.WithCancelCause(context.Background())
+	requests, cancelRequests := context.WithCancelCause(ctx)
 	return &connection{
 		acceptor: acceptor, conn: conn, reader: bufio.NewReaderSize(conn, readerBytes),
 		limits: acceptor.limiter.Limits(), ctx: ctx, cancelCause: cancel,
+		requests: requests, cancelRequests: cancelRequests,
 		latest: alwaysClosed, barrier: alwaysClosed, freed: make(chan struct{}, 1),
 	}
 }
@@ -296,6 +302,16 @@
 	}
 }
 
+// giveUp gives up all requests: their responses are refusals, unless they have begun.
+func (connection *connection) giveUp() {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	connection.cancelRequests(errStopTimeout)
+	if connection.phase != phaseEnd {
+		_ = connection.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // updateLimits takes over the limits in force.
 func (connection *connection) updateLimits() {
 	limits := connection.acceptor.limiter.Limits()
@@ -315,7 +331,7 @@
 
 // updateDeadline sets the read deadline of the phase; mu is held.
 func (connection *connection) updateDeadline() {
-	if connection.ctx.Err() != nil {
+	if connection.ctx.Err() != nil || connection.requests.Err() != nil && connection.phase != phaseEnd {
 		return // The connection was interrupted.
 	}
 	now := time.Now()
@@ -346,7 +362,7 @@
 func (connection *connection) allowBody(deadline time.Time) {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
-	if connection.ctx.Err() == nil {
+	if connection.requests.Err() == nil {
 		_ = connection.conn.SetReadDeadline(deadline)
 	}
 }
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -73,7 +73,7 @@
 // logCut logs the request if its connection ends before the response because the stop
 // timeout has passed.
 func (exchange *exchange) logCut() {
-	if exchange.stage == stageAnswered || context.Cause(exchange.connection.ctx) != errStopTimeout {
+	if exchange.stage == stageAnswered || context.Cause(exchange.connection.requests) != errStopTimeout {
 		return
 	}
 	details := []any{"stage", exchange.stage.String(), "body-bytes", exchange.body.bytes}
@@ -103,7 +103,7 @@
 		request = &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true}
 	}
 	request.RemoteAddr = connection.conn.RemoteAddr().String()
-	exchange.request = request.WithContext(context.WithValue(connection.ctx, exchangeKey{}, exchange))
+	exchange.request = request.WithContext(context.WithValue(connection.requests, exchangeKey{}, exchange))
 	exchange.body.reader = request.Body
 	if request.Body == nil || request.Body == http.NoBody {
 		exchange.body.end()
@@ -182,7 +182,7 @@
 	defer func() { exchange.releaseBody(exchange.body.bytes) }()
 	request, err := exchange.decoded.WithBody(exchange.request.Body, exchange.request.ContentLength)
 	if err != nil {
-		exchange.decodeErr = badRequest("the body broke off").WithCause(err)
+		exchange.decodeErr = exchange.bodyError(err)
 		return
 	}
 	exchange.decoded = request
@@ -191,6 +191,33 @@
 	}
 }
 
+// bodyError returns the refusal of a request whose body can't be read because of err.
+func (exchange *exchange) bodyError(err error) error {
+	if context.Cause(exchange.connection.requests) == errStopTimeout {
+		return stopOver(refuser.NotRun).WithCause(err)
+	}
+	return badRequest("the body broke off").WithCause(err)
+}
+
+// stopOver returns the refusal of a request that is given up at the end of a stop.
+func stopOver(ran refuser.Ran) *refuser.Refusal {
+	if ran == refuser.NotRun {
+		return refuser.New(refuser.KindLeaving, ran, "the host stopped before the request was sent")
+	}
+	return refuser.New(refuser.KindOutcomeUnknown, ran, "the host stopped before the answer came")
+}
+
+// givenUp returns err, or the refusal that tells the caller about the stop if the request
+// was cancelled because of its end.
+func (exchange *exchange) givenUp(err error) error {
+	refusal := new(refuser.Refusal)
+	if !errors.As(err, &refusal) || refusal.Kind() != refuser.KindCancelled ||
+		context.Cause(exchange.connection.requests) != errStopTimeout {
+		return err
+	}
+	return stopOver(refusal.Ran()).WithCause(err)
+}
+
 // run handles the request and writes its response.
 func (exchange *exchange) run() {
 	defer exchange.finish()
--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -33,7 +33,7 @@
 // serve dispatches one request and streams its answer.
 func (acceptor *Acceptor) serve(c echo.Context) error {
 	exchange := exchangeOf(c.Request())
-	err := acceptor.forward(c, exchange)
+	err := exchange.givenUp(acceptor.forward(c, exchange))
 	if err != nil && !exchange.body.complete.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/refuser"
 )
 
 // wrappingListener changes the connections that it accepts.
@@ -180,3 +182,27 @@
 	}
 	t.Fatal("the request is not read")
 }
+
+// patientLimits let callers take their time.
+var patientLimits = NewLimits(4096, time.Minute, time.Minute, time.Minute)
+
+// TestStopEndsWithAnswers checks that the end of a stop answers the requests that are
+// left: one at work, one that waits for it and one that is being sent. Their connections
+// were closed in silence.
+func TestStopEndsWithAnswers(t *testing.T) {
+	fixture := newFixtureWith(t, patientLimits, func(acceptor *Acceptor) {
+		acceptor.SetStopTimeout(200 * time.Millisecond)
+	})
+	upload, uploadReader := fixture.conn, fixture.reader
+	fixture.send(t, post("/3", "pay")[:len(post("/3", "pay"))-1])
+	fixture.connect(t)
+	fixture.send(t, post("/1", "pay"), post("/2", "pay"))
+	fixture.awaitStart(t, "/1")
+	fixture.stop()
+	fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), false)
+	fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), true)
+	fixture.conn, fixture.reader = upload, uploadReader
+	fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), true)
+	fixture.expectEnd(t)
+	fixture.awaitStop(t)
+}
