stopper: a request is passed on late in a stop only if it can end before the stop

Cause: nothing compared the time that is left of a stop with the deadline of a request.

Now package stopper decides, for each attempt and without I/O, until when it may start: without limit if its deadline comes before the end of the stop, else within the first 2.58 s of 6 s, so that a request that is sent later than 3 s after SIGTERM is never cut, also where the process notices its stop 0.35 s late. What may not start is refused at once as not run (host-leaving): before its body is read, in the middle of it when the front stops, and while it waits for a slot. The end is counted from the beginning of the stop.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -31,6 +31,9 @@
 type Dispatcher interface {
 	// Repeatable reports whether request may run more than once.
 	Repeatable(request *dispatcher.Request) bool
+	// Check refuses a request, whose body need not have arrived, if it is known that it
+	// will not be sent.
+	Check(request *dispatcher.Request) error
 	Dispatch(ctx context.Context, request *dispatcher.Request) (*dispatcher.Answer, error)
 }
 
@@ -55,17 +58,16 @@
 	limiter Limiter
 	// clock tells when requests arrive.
 	clock Clock
-	// stopTimeout limits how long requests may continue after a stop.
+	// stopTimeout limits how long requests may continue after a stop, unless stopper is
+	// set and tells it.
 	stopTimeout time.Duration
+	stopper     Stopper
 	// ids generates the request ids.
 	ids idGenerator
 	// mount adds the protocol's routes on the first Run.
 	mount sync.Once
 	// protocol must not change after Run is called.
 	protocol Protocol
-	// leaving reports whether connections close after their next response; nil
-	// means never.
-	leaving func() bool
 	// ready is closed once callers may be served; nil means at once. Connections
 	// wait for it, but no longer than readyTimeout.
 	ready        <-chan struct{}
@@ -114,9 +116,18 @@
 // SetProtocol replaces the default protocol.
 func (acceptor *Acceptor) SetProtocol(protocol Protocol) { acceptor.protocol = protocol }
 
-// SetLeaving sets the function that reports whether the host is leaving. While it
-// is, each connection closes after its next response.
-func (acceptor *Acceptor) SetLeaving(leaving func() bool) { acceptor.leaving = leaving }
+// Stopper describes a planned stop of the host, which begins before Run is stopped.
+type Stopper interface {
+	// Stopping reports whether the stop has begun. From then on each connection closes
+	// after its next response.
+	Stopping() bool
+	// End returns when the requests that are left are given up, by the acceptor's clock;
+	// false before the beginning.
+	End() (time.Time, bool)
+}
+
+// SetStopper sets the stopper of the host.
+func (acceptor *Acceptor) SetStopper(stopper Stopper) { acceptor.stopper = stopper }
 
 // SetReady makes connections wait until ready is closed, but no longer than
 // timeout, since a host that has just started is usually ready within moments.
@@ -138,7 +149,19 @@
 	}
 }
 
-func (acceptor *Acceptor) isLeaving() bool { return acceptor.leaving != nil && acceptor.leaving() }
+func (acceptor *Acceptor) isStopping() bool {
+	return acceptor.stopper != nil && acceptor.stopper.Stopping()
+}
+
+// stopLeft returns how long requests may still continue after a stop.
+func (acceptor *Acceptor) stopLeft() time.Duration {
+	if acceptor.stopper != nil {
+		if end, ok := acceptor.stopper.End(); ok {
+			return end.Sub(acceptor.clock.Now())
+		}
+	}
+	return acceptor.stopTimeout
+}
 
 // SetListener sets a listener to use instead of listening on the host's address.
 func (acceptor *Acceptor) SetListener(listener net.Listener) { acceptor.listener = listener }
@@ -268,7 +291,7 @@
 // the requests that are left once their time is over.
 func (acceptor *Acceptor) awaitConnections() {
 	acceptor.stopConnections()
-	timer := time.AfterFunc(acceptor.stopTimeout, acceptor.giveUp)
+	timer := time.AfterFunc(acceptor.stopLeft(), acceptor.giveUp)
 	defer timer.Stop()
 	acceptor.tasks.Wait()
 	_ = acceptor.workers.Close()
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -31,6 +31,9 @@
 	return request.Method() == http.MethodGet
 }
 
+// Check refuses nothing.
+func (*fakeDispatcher) Check(*dispatcher.Request) error { return nil }
+
 func (fakeDispatcher *fakeDispatcher) Dispatch(ctx context.Context, request *dispatcher.Request) (*dispatcher.Answer, error) {
 	switch request.Target() {
 	case "/cut":
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -32,6 +32,9 @@
 	// caller to close it. Closing it with unread bytes would reset it, and the caller
 	// might lose the last response.
 	lingerTime = 500 * time.Millisecond
+	// maxLingerTime limits the wait for a caller that goes on sending a body after its
+	// request has been refused.
+	maxLingerTime = 5 * time.Second
 	// lastReadTime is how long an idle connection is still read after a stop: a
 	// request that had arrived by then is served.
 	lastReadTime = 20 * time.Millisecond
@@ -96,6 +99,9 @@
 	newest *exchange
 	// begun is true while a request is read that has not been accepted.
 	begun bool
+	// reading is the request whose body is being read before it is accepted; nil if
+	// there is none.
+	reading *exchange
 	// closing is true once a response announces that the connection closes. No request
 	// is accepted after that.
 	closing bool
@@ -285,20 +291,27 @@
 func (connection *connection) closesAfter(exchange *exchange, must bool) bool {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
-	last := connection.phase == phaseEnd || (connection.stopping || connection.acceptor.isLeaving()) && !connection.begun
+	last := connection.phase == phaseEnd || (connection.stopping || connection.acceptor.isStopping()) && !connection.begun
 	if must || last && connection.newest == exchange {
 		connection.closing = true
 	}
 	return connection.closing
 }
 
-// stop makes the newest request the last one and ends an idle connection.
+// stop makes the newest request the last one, ends an idle connection, and refuses a
+// request whose body is being read if it can't be sent any more.
 func (connection *connection) stop() {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	connection.stopping = true
-	if connection.phase == phaseIdle {
+	switch {
+	case connection.phase == phaseIdle:
 		connection.updateDeadline()
+	case connection.reading != nil:
+		if err := connection.acceptor.dispatcher.Check(connection.reading.head); err != nil {
+			connection.reading.refusal = err
+			_ = connection.conn.SetReadDeadline(time.Unix(1, 0))
+		}
 	}
 }
 
@@ -312,6 +325,13 @@
 	}
 }
 
+// startReading makes exchange the request whose body is being read; nil for none.
+func (connection *connection) startReading(exchange *exchange) {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	connection.reading = exchange
+}
+
 // updateLimits takes over the limits in force.
 func (connection *connection) updateLimits() {
 	limits := connection.acceptor.limiter.Limits()
@@ -362,7 +382,7 @@
 func (connection *connection) allowBody(deadline time.Time) {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
-	if connection.requests.Err() == nil {
+	if connection.requests.Err() == nil && (connection.reading == nil || connection.reading.refusal == nil) {
 		_ = connection.conn.SetReadDeadline(deadline)
 	}
 }
@@ -378,8 +398,8 @@
 }
 
 // end waits until the last response has been written, and then for the caller to
-// close the connection, but no longer than lingerTime. A caller that closes it earlier
-// has left.
+// close the connection, for lingerTime after the last bytes that the caller sends. A
+// caller that closes it earlier has left.
 func (connection *connection) end() {
 	connection.enter(phaseEnd)
 	if connection.unread {
@@ -387,7 +407,7 @@
 		return
 	}
 	var buffer [512]byte
-	for {
+	for start := time.Now(); time.Since(start) < maxLingerTime; connection.enter(phaseEnd) {
 		if _, err := connection.reader.Read(buffer[:]); err != nil {
 			return
 		}
--- a/internal/acceptor/connection_benchmark_test.go
+++ b/internal/acceptor/connection_benchmark_test.go
@@ -22,6 +22,9 @@
 // Repeatable returns true.
 func (delayedDispatcher) Repeatable(*dispatcher.Request) bool { return true }
 
+// Check refuses nothing.
+func (delayedDispatcher) Check(*dispatcher.Request) error { return nil }
+
 // Dispatch answers after the delay.
 func (delayedDispatcher delayedDispatcher) Dispatch(context.Context, *dispatcher.Request) (*dispatcher.Answer, error) {
 	time.Sleep(delayedDispatcher.delay)
--- a/internal/acceptor/connection_test.go
+++ b/internal/acceptor/connection_test.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// held holds the requests in progress by target.
 	held map[string]chan *dispatcher.Answer
+	// refusal is what Check returns.
+	refusal error
 	// started and cancelled receive the targets of requests.
 	started, cancelled chan string
 }
@@ -40,6 +42,20 @@
 	return request.Method() != http.MethodPost
 }
 
+// Check returns the refusal of the test.
+func (heldDispatcher *heldDispatcher) Check(*dispatcher.Request) error {
+	heldDispatcher.mu.Lock()
+	defer heldDispatcher.mu.Unlock()
+	return heldDispatcher.refusal
+}
+
+// refuse makes Check return err.
+func (heldDispatcher *heldDispatcher) refuse(err error) {
+	heldDispatcher.mu.Lock()
+	defer heldDispatcher.mu.Unlock()
+	heldDispatcher.refusal = err
+}
+
 // Dispatch waits for the answer of the test.
 func (heldDispatcher *heldDispatcher) Dispatch(ctx context.Context, request *dispatcher.Request) (*dispatcher.Answer, error) {
 	answers := heldDispatcher.answers(request.Target())
@@ -332,13 +348,24 @@
 	fixture.expect(t, http.MethodGet, http.StatusOK, "/2", true)
 }
 
+// begunStop is a stop that began just now and ends after that time.
+type begunStop time.Duration
+
+// Stopping returns true.
+func (begunStop) Stopping() bool { return true }
+
+// End returns the end of the stop.
+func (begunStop begunStop) End() (time.Time, bool) {
+	return time.Now().Add(time.Duration(begunStop)), true
+}
+
 // TestLeavingHostClosesAfterTheNewest checks that a host that leaves closes a
 // connection after the newest of its requests, not after one before it.
 func TestLeavingHostClosesAfterTheNewest(t *testing.T) {
 	fixture := newFixture(t, testLimits)
 	fixture.send(t, get("/1"), get("/2"))
 	fixture.awaitStart(t, "/1", "/2")
-	fixture.acceptor.SetLeaving(func() bool { return true })
+	fixture.acceptor.SetStopper(begunStop(time.Minute))
 	fixture.answer("/1")
 	fixture.answer("/2")
 	fixture.expect(t, http.MethodGet, http.StatusOK, "/1", false)
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -26,6 +26,12 @@
 	// to be told to send it; decodeErr is why there is none.
 	decoded   *dispatcher.Request
 	decodeErr error
+	// head is the request before its body was read. It does not change while the
+	// connection reads the body.
+	head *dispatcher.Request
+	// refusal is why reading the body was ended; nil if it was not. The connection's mu
+	// guards it.
+	refusal error
 	// repeatable is true if the request may run beside others of its connection. One
 	// that is not runs after those before it and before those behind it.
 	repeatable bool
@@ -133,6 +139,14 @@
 	}
 	exchange.decoded = exchange.decoded.WithArrival(acceptor.clock.Now())
 	exchange.repeatable = acceptor.dispatcher.Repeatable(exchange.decoded)
+	if !exchange.body.complete.Load() {
+		exchange.head = exchange.decoded
+		exchange.connection.startReading(exchange)
+		defer exchange.connection.startReading(nil)
+		if exchange.decodeErr = acceptor.dispatcher.Check(exchange.head); exchange.decodeErr != nil {
+			return
+		}
+	}
 	if exchange.body.expected {
 		exchange.size += dispatcher.BufferedBodyBytes
 		return
@@ -193,7 +207,13 @@
 
 // bodyError returns the refusal of a request whose body can't be read because of err.
 func (exchange *exchange) bodyError(err error) error {
-	if context.Cause(exchange.connection.requests) == errStopTimeout {
+	connection := exchange.connection
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	switch {
+	case exchange.refusal != nil:
+		return exchange.refusal
+	case context.Cause(connection.requests) == errStopTimeout:
 		return stopOver(refuser.NotRun).WithCause(err)
 	}
 	return badRequest("the body broke off").WithCause(err)
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,7 +155,7 @@
 // not announce that the connection closes. It did, and the request was dropped.
 func TestRequestReadAtStop(t *testing.T) {
 	for _, begun := range []int{len("GET"), len(post("/2", "pay")) - 1} {
-		fixture := newFixtureWith(t, testLimits, func(acceptor *Acceptor) { acceptor.SetLeaving(func() bool { return true }) })
+		fixture := newFixtureWith(t, testLimits, func(acceptor *Acceptor) { acceptor.SetStopper(begunStop(time.Minute)) })
 		second := post("/2", "pay")
 		fixture.send(t, get("/1"), second[:begun])
 		fixture.awaitStart(t, "/1")
@@ -191,7 +192,7 @@
 // were closed in silence.
 func TestStopEndsWithAnswers(t *testing.T) {
 	fixture := newFixtureWith(t, patientLimits, func(acceptor *Acceptor) {
-		acceptor.SetStopTimeout(200 * time.Millisecond)
+		acceptor.SetStopper(begunStop(200 * time.Millisecond))
 	})
 	upload, uploadReader := fixture.conn, fixture.reader
 	fixture.send(t, post("/3", "pay")[:len(post("/3", "pay"))-1])
@@ -206,3 +207,54 @@
 	fixture.expectEnd(t)
 	fixture.awaitStop(t)
 }
+
+// TestUploadBeyondStop checks that a request whose body is being sent when the host stops
+// is refused at once if it would not be sent to an endpoint, and that its caller can go
+// on sending without losing the response. It was read to its end, however long that took.
+func TestUploadBeyondStop(t *testing.T) {
+	leaving := refuser.New(refuser.KindLeaving, refuser.NotRun, "the host leaves")
+	for _, text := range []string{
+		"POST /s/ledger/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nhalf",
+		"POST /s/ledger/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\nhalf",
+	} {
+		fixture := newFixture(t, patientLimits)
+		fixture.send(t, text)
+		fixture.awaitBody(t)
+		fixture.refuse(leaving)
+		fixture.stop()
+		fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), true)
+		for range 4 {
+			time.Sleep(lingerTime / 3)
+			fixture.send(t, strings.Repeat("x", 100))
+		}
+		fixture.noStart(t)
+	}
+}
+
+// TestUploadRefusedWithItsHeader checks that a request that will not be sent is refused
+// before its body is read, and that no caller is invited to send one.
+func TestUploadRefusedWithItsHeader(t *testing.T) {
+	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+		fixture := newFixture(t, testLimits)
+		fixture.refuse(refuser.New(refuser.KindLeaving, refuser.NotRun, "the host leaves"))
+		fixture.send(t, "POST /s/ledger/1 HTTP/1.1\r\nHost: a\r\n"+expect+"Content-Length: 1000\r\n\r\n")
+		fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), true)
+		fixture.noStart(t)
+	}
+}
+
+// awaitBody waits until the connection reads a body.
+func (fixture *fixture) awaitBody(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		for _, connection := range fixture.acceptor.openConnections() {
+			connection.mu.Lock()
+			reading := connection.reading
+			connection.mu.Unlock()
+			if reading != nil {
+				return
+			}
+		}
+	}
+	t.Fatal("no body is read")
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -89,6 +89,7 @@
 	recorder    Recorder
 	journal     Journal
 	clock       Clock
+	stopper     Stopper
 	claimer     Claimer
 	quarantiner Quarantiner
 	budget      Budget
@@ -156,6 +157,10 @@
 // SetClock replaces the default clock.
 func (dispatcher *Dispatcher) SetClock(clock Clock) { dispatcher.clock = clock }
 
+// SetStopper sets the stopper that limits requests during a planned stop; without one,
+// they are not limited.
+func (dispatcher *Dispatcher) SetStopper(stopper Stopper) { dispatcher.stopper = stopper }
+
 // timeLeft returns the time until the call must have its answer.
 func (dispatcher *Dispatcher) timeLeft(call *call) time.Duration {
 	return call.timeout - dispatcher.clock.Now().Sub(call.arrived)
@@ -175,6 +180,9 @@
 		request = request.WithArrival(dispatcher.clock.Now())
 	}
 	call, err := dispatcher.prepare(request)
+	if err == nil {
+		err = dispatcher.checkStop(call.Request, call.timeout)
+	}
 	if err != nil {
 		return nil, dispatcher.recordRefusal(request, nil, start, err)
 	}
@@ -199,9 +207,15 @@
 	return dispatcher.sendWithRetries(ctx, call)
 }
 
+// acquire waits for a slot, but no longer than a planned stop allows.
 func (dispatcher *Dispatcher) acquire(ctx context.Context, call *call) (Slot, error) {
+	limited, cancel := dispatcher.limitWait(ctx, call)
+	defer cancel()
 	start := time.Now()
-	slot, err := dispatcher.router.Acquire(ctx, call.routerRequest(ctx))
+	slot, err := dispatcher.router.Acquire(limited, call.routerRequest(ctx))
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		err = hostLeaving()
+	}
 	queued := time.Since(start)
 	call.externalTime += queued
 	dispatcher.meters.wait(queued)
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -19,6 +19,8 @@
 	// Repeatable reports whether the request has a plan by which it may run more than
 	// once.
 	Repeatable(request *Request) bool
+	// Timeout returns the timeout of the request's plan; 0 if there is none.
+	Timeout(request *Request) time.Duration
 }
 
 // Plan describes how to process one request.
@@ -95,6 +97,15 @@
 	return ok && configuration.RuleFor(request.service, request.method, request.target).Repeatable()
 }
 
+// Timeout returns the deadline of the request's rule.
+func (rulePlanner *rulePlanner) Timeout(request *Request) time.Duration {
+	configuration := rulePlanner.configurations.Current()
+	if configuration == nil {
+		return 0
+	}
+	return configuration.RuleFor(request.service, request.method, request.target).Deadline()
+}
+
 // RouteTables provides the routing table in force.
 type RouteTables interface {
 	// Table returns the newest known table, and whether it is known to be current.
@@ -143,10 +154,22 @@
 
 // Repeatable reports whether the request's route allows it to run more than once.
 func (routePlanner *RoutePlanner) Repeatable(request *Request) bool {
+	route, ok := routePlanner.find(request)
+	return ok && route.Repeatable()
+}
+
+// Timeout returns the timeout of the request's route.
+func (routePlanner *RoutePlanner) Timeout(request *Request) time.Duration {
+	if route, ok := routePlanner.find(request); ok {
+		return route.Timeout()
+	}
+	return 0
+}
+
+func (routePlanner *RoutePlanner) find(request *Request) (definer.Route, bool) {
 	table, _ := routePlanner.tables.Table()
 	path, _, _ := strings.Cut(request.target, "?")
-	route, ok := table.Find(request.authority, path)
-	return ok && route.Repeatable()
+	return table.Find(request.authority, path)
 }
 
 // nextCount counts a request of a route and returns the count. Each process
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -189,6 +189,12 @@
 		dispatcher.endAdmission(call, run, NewFailure(DeadlineExceeded, false, nil))
 		return call.attempts.adjust(refuser.New(refuser.KindDeadline, refuser.NotRun, "the deadline passed before the request was sent"))
 	}
+	if err := dispatcher.checkStop(call.Request, call.timeout); err != nil {
+		// The stop began while the request waited for its slot.
+		slot.Release(router.NewResult(router.Cancelled, 0))
+		dispatcher.endAdmission(call, run, NewFailure(Unconnected, false, err))
+		return call.attempts.adjust(asRefusal(err))
+	}
 	run.endpoint = slot.Endpoint()
 	call.tried = append(call.tried, run.endpoint.Name())
 	call.attempts.begin()
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -60,7 +60,7 @@
 
 // ReadinessProblems returns the reasons why the host is not ready, with the remedies.
 func (gateway *Gateway) ReadinessProblems() []string {
-	if gateway.leaving.Load() {
+	if gateway.stopper.Stopping() {
 		return []string{"the host is leaving; send callers to another"}
 	}
 	if gateway.tracker.View().Table().Version() == 0 {
@@ -102,7 +102,7 @@
 			hosts = append(hosts, host)
 		}
 	}
-	if !gateway.leaving.Load() || len(hosts) == 0 {
+	if !gateway.stopper.Stopping() || len(hosts) == 0 {
 		hosts = append(hosts, gateway.self)
 	}
 	return locator.Near(hosts, place), holdTime
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -44,6 +44,7 @@
 	"github.com/chivespool/chivespool/internal/quarantiner"
 	"github.com/chivespool/chivespool/internal/recorder"
 	"github.com/chivespool/chivespool/internal/sender"
+	"github.com/chivespool/chivespool/internal/stopper"
 	"github.com/chivespool/chivespool/internal/supervisor"
 	"github.com/chivespool/chivespool/internal/timekeeper"
 	"github.com/chivespool/chivespool/internal/tracker"
@@ -91,8 +92,8 @@
 	// quarantiner holds the requests that crash endpoints, which verifier finds.
 	quarantiner *quarantiner.Quarantiner
 	verifier    *verifier.Verifier
-	// leaving is true once a planned stop has begun.
-	leaving atomic.Bool
+	// stopper limits requests during a planned stop.
+	stopper *stopper.Stopper
 	// peersRevision is the revision of the view that the messenger's peers are from.
 	peersRevision atomic.Uint64
 }
@@ -113,6 +114,7 @@
 		log:      logger.New(output),
 		recorder: &recorder.Recorder{},
 		registry: metrics.NewRegistry(),
+		stopper:  stopper.New(settings.LeaveTimeout()),
 	}
 	gateway.current.Store(settings)
 	if err := gateway.makeView(); err != nil {
@@ -176,6 +178,7 @@
 	gateway.dispatcher.SetRegistry(gateway.registry)
 	gateway.dispatcher.SetJournal(gateway.log)
 	gateway.dispatcher.SetClock(&gateway.clock)
+	gateway.dispatcher.SetStopper(gateway.stopper)
 	gateway.dispatcher.SetQuarantiner(gateway.verifier)
 }
 
@@ -236,7 +239,6 @@
 	acceptor.SetClock(&gateway.clock)
 	acceptor.SetLimiter(&callerLimiter{gateway: gateway, base: limits})
 	acceptor.SetProtocol(protocol)
-	acceptor.SetLeaving(gateway.leaving.Load)
-	acceptor.SetStopTimeout(gateway.drainTime())
+	acceptor.SetStopper(gateway.stopper)
 	return acceptor
 }
