launcher: gateways of tests listen at a random loopback address

The addresses are now at a random host of 127.0.0.0/8. The bound of a planned stop and the output of the log are parameters, for the tests of stops.

--- a/internal/launcher/deadly_request_test.go
+++ b/internal/launcher/deadly_request_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -97,13 +98,21 @@
 plain = yes
 `
 
-// newGateway returns a gateway and its address for callers. All gateways of a test are
-// created before the first one runs, since the log of the process belongs to the newest.
-func newGateway(t *testing.T, name, store string) (*Gateway, string) {
+// loopbackAddress returns a random loopback address without a port. Outgoing connections
+// leave from 127.0.0.1, so none takes a port that was free at another address.
+func loopbackAddress() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
+// newGateway returns a gateway that stops within bound and logs to output, and its address
+// for callers. All gateways of a test are created before the first one runs, since the log
+// of the process belongs to the newest.
+func newGateway(t *testing.T, name, store string, bound time.Duration, output io.Writer) (*Gateway, string) {
 	t.Helper()
+	host := loopbackAddress()
 	var addresses []string
 	for range 5 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,11 +120,11 @@
 		_ = listener.Close()
 	}
 	file := filepath.Join(t.TempDir(), "gateway.ini")
-	text := fmt.Sprintf(gatewayText, name, addresses[0], addresses[1], store, addresses[2], addresses[3], addresses[4], time.Second)
+	text := fmt.Sprintf(gatewayText, name, addresses[0], addresses[1], store, addresses[2], addresses[3], addresses[4], bound)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	gateway, err := New(file, io.Discard, nil)
+	gateway, err := New(file, output, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -184,8 +193,8 @@
 			if err := operator.Publish(1, hostName, []definer.Route{route("many", true), route("once", false)}, platform.StubHealthPath, limits); err != nil {
 				t.Fatal(err)
 			}
-			first, firstAddress := newGateway(t, "front-nbo-a-1", store.URL)
-			second, secondAddress := newGateway(t, "front-nbo-a-2", store.URL)
+			first, firstAddress := newGateway(t, "front-nbo-a-1", store.URL, time.Second, io.Discard)
+			second, secondAddress := newGateway(t, "front-nbo-a-2", store.URL, time.Second, io.Discard)
 			runGateway(t, first)
 			runGateway(t, second)
 			gateways := []string{firstAddress, secondAddress}
