dispatcher: an answer that fails before its body is refused

Cause: the acceptor took over the answer's status and header before it read the body, and treated every failure of the body as one within the answer.

The dispatcher logs it as refused, after the line "answered" of the header. The acceptor takes over status and header with the first part, so no header of the endpoint, its signature included, is on the refusal, and the caller's connection stays open. An answer of which a part was read still ends its connection. HEAD is as before.

--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -75,24 +75,23 @@
 var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
 
 // streamAnswer writes the answer to the caller. If the body is truncated, it
-// closes the connection, so that the caller does not accept it as complete.
+// closes the connection, so that the caller does not accept it as complete. It returns
+// the refusal of an answer that has failed before its first part.
 func (acceptor *Acceptor) streamAnswer(c echo.Context, answer *dispatcher.Answer) error {
-	header := c.Response().Header()
-	for name, values := range answer.Header() {
-		header[name] = values
-	}
-	acceptor.protocol.AdjustHeader(header, answer)
-	if answer.Length() >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(answer.Length(), 10))
-	}
-	c.Response().WriteHeader(answer.Status())
 	if c.Request().Method == http.MethodHead {
+		acceptor.startAnswer(c, answer)
 		return nil
 	}
 	buffer := buffers.Get().(*[bufferBytes]byte)
 	defer buffers.Put(buffer)
 	for {
 		count, err := answer.Read(buffer[:])
+		if !c.Response().Committed {
+			if refusal := new(refuser.Refusal); errors.As(err, &refusal) {
+				return refusal
+			}
+			acceptor.startAnswer(c, answer)
+		}
 		if count > 0 {
 			if _, writeErr := c.Response().Write(buffer[:count]); writeErr != nil {
 				return nil // The caller disconnected; closing the answer cancels the rest.
@@ -113,6 +112,19 @@
 	}
 }
 
+// startAnswer sets the status and the header of the answer.
+func (acceptor *Acceptor) startAnswer(c echo.Context, answer *dispatcher.Answer) {
+	header := c.Response().Header()
+	for name, values := range answer.Header() {
+		header[name] = values
+	}
+	acceptor.protocol.AdjustHeader(header, answer)
+	if answer.Length() >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length(), 10))
+	}
+	c.Response().WriteHeader(answer.Status())
+}
+
 // idGenerator generates request ids that are unique in the fleet.
 type idGenerator struct {
 	prefix string
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Answer is a backend server's response, available once its head has been
@@ -27,6 +28,11 @@
 	held *reservation
 	// cancel cancels the request's remaining work; may be nil.
 	cancel context.CancelFunc
+	// refuse returns the refusal for a failure of the body; nil before Dispatch returns
+	// the answer.
+	refuse func(failure *Failure) error
+	// started is true once Read has returned a part of the body or a refusal.
+	started bool
 }
 
 // NewAnswer returns an answer whose body has length bytes, or -1 if unknown.
@@ -61,8 +67,18 @@
 // Endpoint returns the name of the endpoint that answered.
 func (answer *Answer) Endpoint() string { return answer.endpoint }
 
-// Read reads the body; any error other than io.EOF is a [Failure].
-func (answer *Answer) Read(buffer []byte) (int, error) { return answer.body.Read(buffer) }
+// Read reads the body; any error other than io.EOF is a [Failure]. If the body fails
+// before its first part, the error is a *refuser.Refusal, since nothing of the answer has
+// gone to the caller.
+func (answer *Answer) Read(buffer []byte) (int, error) {
+	count, err := answer.body.Read(buffer)
+	refusable := count == 0 && !answer.started && answer.refuse != nil
+	answer.started = answer.started || count > 0 || err != nil
+	if err == nil || err == io.EOF || !refusable {
+		return count, err
+	}
+	return 0, answer.refuse(asFailure(err))
+}
 
 // Close releases the answer and frees the endpoint's slot. Closing before
 // io.EOF cancels the rest of the response.
@@ -77,6 +93,13 @@
 	return err
 }
 
+// refuseAnswer returns the refusal of a call whose answer has failed before the first part
+// of its body. The answer is not retried: its attempts have ended.
+func (dispatcher *Dispatcher) refuseAnswer(call *call, start time.Time, failure *Failure) error {
+	call.attempts.recordFailure(failure, false)
+	return dispatcher.recordRefusal(call.Request, call, start, call.attempts.refusal(failure))
+}
+
 // trackedBody ends an attempt when the body of its answer ends.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -193,6 +193,7 @@
 		return nil, dispatcher.recordRefusal(call.Request, call, start, err)
 	}
 	answer.cancel = cancel
+	answer.refuse = func(failure *Failure) error { return dispatcher.refuseAnswer(call, start, failure) }
 	dispatcher.journal.Routine("answered", "request", call.id, "service", call.service, "class", call.plan.class,
 		"endpoint", answer.endpoint, "status", answer.status, "attempts", len(call.tried), "took", time.Since(start))
 	dispatcher.meters.done(time.Since(start) - call.externalTime)
