emulator: free addresses that no outgoing connection takes

The product is not concerned.

Cause: newGateway, and freeAddresses of cmd/chivespoold, let the system choose ports of 127.0.0.1 and close the listeners, since the gateway listens by its settings file. The ports are of the range from which the system also gives outgoing connections their port, and these have 127.0.0.1 as their address: any of them, of any process, may take the port before the gateway listens. With some thousand connections of other tests on the machine that is not rare.

The tests are otherwise unchanged.

Others looked at: the soaker and scripts/processes.sh use ports below the system's range for outgoing connections; the other tests listen once and hand the listener over.

--- a/cmd/chivespoold/main_test.go
+++ b/cmd/chivespoold/main_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/emulator"
 )
 
 // runAsDaemon is the environment variable that makes the test binary run as the command.
@@ -69,19 +70,18 @@
 plain = yes
 `
 
-// freeAddresses returns loopback addresses with free ports.
-func freeAddresses(t *testing.T, count int) []any {
+// formatSettings returns gatewaySettings with free addresses and the bound.
+func formatSettings(t *testing.T, bound time.Duration) string {
 	t.Helper()
-	var addresses []any
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+	addresses, err := emulator.FreeAddresses(6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var values []any
+	for _, address := range addresses {
+		values = append(values, address)
 	}
-	return addresses
+	return fmt.Sprintf(gatewaySettings, append(values, bound)...)
 }
 
 // TestSignalsThroughStop sends a signal again and again from the start of a gateway
@@ -94,7 +94,7 @@
 			t.Run(fmt.Sprintf("%v/%v", sent, bound), func(t *testing.T) {
 				t.Parallel()
 				settings := filepath.Join(t.TempDir(), "gateway.ini")
-				text := fmt.Sprintf(gatewaySettings, append(freeAddresses(t, 6), bound)...)
+				text := formatSettings(t, bound)
 				if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 					t.Fatal(err)
 				}
@@ -130,7 +130,7 @@
 // and end by its planned stop.
 func TestLogOutputCloses(t *testing.T) {
 	settings := filepath.Join(t.TempDir(), "gateway.ini")
-	text := fmt.Sprintf(gatewaySettings, append(freeAddresses(t, 6), time.Second)...)
+	text := formatSettings(t, time.Second)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/launcher/deadly_request_test.go
+++ b/internal/launcher/deadly_request_test.go
@@ -101,14 +101,9 @@
 // created before the first one runs, since the log of the process belongs to the newest.
 func newGateway(t *testing.T, name, store string) (*Gateway, string) {
 	t.Helper()
-	var addresses []string
-	for range 5 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addresses = append(addresses, listener.Addr().String())
-		_ = listener.Close()
+	addresses, err := emulator.FreeAddresses(5)
+	if err != nil {
+		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "gateway.ini")
 	text := fmt.Sprintf(gatewayText, name, addresses[0], addresses[1], store, addresses[2], addresses[3], addresses[4], time.Second)
