acceptor: a body that does not arrive in time is refused with 408

A caller that paused within the body of its request for longer than [callers] body-timeout got 400 (bad-request, "the body broke off"), as if the request were malformed. Callers never retry that, and the platform counts it as a proper request that was denied, although the request had not run: it is passed on only after the buffered part of its body (64 KiB, or all of it) has been read.

Cause: readBody gave every failure of reading the kind bad-request. Now one that is the passing of the time limit is of the new kind body-timeout, ran no. Its status is 408, which promises in both protocols that the request has not run (PROTOCOL.md); in the platform's it is sent only if the refusal says so, 502 otherwise. A body that breaks off or is malformed is still 400.

TestSlowBodyIsRefusedAsNotRun checks the status for bodies with a length, in chunks (a pause within a chunk and between two) and after 100 Continue, that the connection ends and that nothing is dispatched; it failed before with 400 in place of 408.

--- a/internal/acceptor/connection_test.go
+++ b/internal/acceptor/connection_test.go
@@ -511,6 +511,29 @@
 	fixture.expect(t, http.MethodPut, http.StatusOK, "/2", false)
 }
 
+// TestSlowBodyIsRefusedAsNotRun checks that a request whose body does not arrive in time is
+// refused with the status that promises that it has not run. It was 400, as if the request
+// were malformed.
+func TestSlowBodyIsRefusedAsNotRun(t *testing.T) {
+	for _, framing := range []string{
+		"Content-Length: 9\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"Expect: 100-continue\r\nContent-Length: 9\r\n\r\n",
+	} {
+		fixture := newFixture(t, testLimits)
+		fixture.send(t, "POST /s/ledger/1 HTTP/1.1\r\nHost: a\r\n"+framing)
+		if strings.HasPrefix(framing, "Expect") {
+			for range 2 {
+				if _, err := fixture.reader.ReadString('\n'); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		fixture.expect(t, http.MethodPost, http.StatusRequestTimeout, `"kind":"body-timeout","ran":"no"`, true)
+		fixture.expectEnd(t)
+		fixture.noStart(t)
+	}
+}
+
 // TestOtherHandlersReadTheBody checks that a handler of another path than those of
 // services gets the whole body, also where the protocol decodes its requests. The body
 // was read for the dispatcher, and operators' requests came without one.
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -215,6 +215,8 @@
 		return exchange.refusal
 	case context.Cause(connection.requests) == errStopTimeout:
 		return stopOver(refuser.NotRun).WithCause(err)
+	case isTimeout(err):
+		return refuser.New(refuser.KindBodyTimeout, refuser.NotRun, "the body did not arrive in time").WithCause(err)
 	}
 	return badRequest("the body broke off").WithCause(err)
 }
--- a/internal/acceptor/problem.go
+++ b/internal/acceptor/problem.go
@@ -28,6 +28,7 @@
 	refuser.KindKeyMismatch:    http.StatusUnprocessableEntity,
 	refuser.KindTooLarge:       http.StatusRequestEntityTooLarge,
 	refuser.KindHeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	refuser.KindBodyTimeout:    http.StatusRequestTimeout,
 }
 
 func statusOf(kind refuser.Kind) int {
@@ -80,7 +81,7 @@
 	switch {
 	case errors.As(refusal, &failure):
 		cause = failure.Cause().String()
-	case refusal.Kind() == refuser.KindBadRequest:
+	case refusal.Kind() == refuser.KindBadRequest || refusal.Kind() == refuser.KindBodyTimeout:
 		cause = "http_request_error"
 	case refusal.Kind() == refuser.KindUnknownService || refusal.Kind() == refuser.KindNoEndpoint:
 		cause = "destination_not_found"
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -51,6 +51,7 @@
 	KindNoRoute          Kind = "no-route"
 	KindTooLarge         Kind = "too-large"
 	KindHeaderTooLarge   Kind = "header-too-large"
+	KindBodyTimeout      Kind = "body-timeout"
 )
 
 // Refusal is the error of a request that ends without an answer from a backend
@@ -129,6 +130,7 @@
 	KindClaimsFull:       "wait until recorded keys expire, or ask an operator to raise claims.most",
 	KindLeaving:          "ask where to go again and send the request there",
 	KindNoRoute:          "check the host and the path, or ask an operator for a route",
+	KindBodyTimeout:      "send the request again, its body without long pauses",
 	KindHeaderTooLarge:   "send fewer or shorter headers, or ask an operator to raise the limit",
 	KindTooLarge:         "send a smaller request, or ask an operator to raise the limit",
 	KindNoConfiguration:  "wait until the host has read the configuration, or ask another host",
