--- a/internal/launcher/deadly_request_test.go
+++ b/internal/launcher/deadly_request_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -98,26 +97,14 @@
 plain = yes
 `
 
-// loopbackAddress returns a random loopback address without a port. Outgoing connections
-// leave from 127.0.0.1, so none takes a port that was free at another address.
-func loopbackAddress() string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-}
-
 // newGateway returns a gateway that stops within bound and logs to output, and its address
 // for callers. All gateways of a test are created before the first one runs, since the log
 // of the process belongs to the newest.
 func newGateway(t *testing.T, name, store string, bound time.Duration, output io.Writer) (*Gateway, string) {
 	t.Helper()
-	host := loopbackAddress()
-	var addresses []string
-	for range 5 {
-		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		addresses = append(addresses, listener.Addr().String())
-		_ = listener.Close()
+	addresses, err := emulator.FreeAddresses(5)
+	if err != nil {
+		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "gateway.ini")
 	text := fmt.Sprintf(gatewayText, name, addresses[0], addresses[1], store, addresses[2], addresses[3], addresses[4], bound)
