runner: tests wait for the configuration without missing it

make test on (beside the bench, load average 25) did not end: TestKeyAcrossHosts waited for 9m56s in startDaemon. It asked whether a configuration is in force and then for the channel of the next change; one that came between the two was the last. The channel is now taken first, as the product's own tasks do. The check is the same.

--- a/internal/runner/cluster_test.go
+++ b/internal/runner/cluster_test.go
@@ -157,8 +157,12 @@
 		cluster.t.Fatal(err)
 	}
 	cluster.stopDaemons = append(cluster.stopDaemons, cluster.start(daemon))
-	for daemon.follower.Current().Revision() == 0 {
-		<-daemon.follower.Changed()
+	for {
+		changed := daemon.follower.Changed()
+		if daemon.follower.Current().Revision() > 0 {
+			break
+		}
+		<-changed
 	}
 	cluster.daemons = append(cluster.daemons, daemon)
 	cluster.connectionTrackers = append(cluster.connectionTrackers, connectionTracker)
