acceptor: a header that does not arrive in time is refused with 408

Now it gets 408, the promise that it has not run. Line breaks alone are no request and get no response.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -160,6 +160,9 @@
 		connection.updateLimits()
 		connection.enter(phaseHead)
 		request, err := connection.readRequest(connection.limits.headerBytes)
+		if isTimeout(err) && connection.headBegun() {
+			err = &statusError{http.StatusRequestTimeout, "the header did not arrive in time"}
+		}
 		if failed, ok := isStatusError(err); ok {
 			connection.accept(newExchange(connection, nil, failed))
 			return
--- a/internal/acceptor/connection_test.go
+++ b/internal/acceptor/connection_test.go
@@ -605,6 +605,7 @@
 	fixture.connect(t)
 	start := time.Now()
 	fixture.send(t, "GET /s/ledger/3 HTTP/1.1\r\nHost:")
+	fixture.expect(t, http.MethodGet, http.StatusRequestTimeout, "header", true)
 	fixture.expectEnd(t)
 	if took := time.Since(start); took >= time.Second {
 		t.Fatalf("an incomplete header was kept for %v", took)
--- a/internal/acceptor/head.go
+++ b/internal/acceptor/head.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// headBegun reports whether a part of a header is buffered. Line breaks between two
+// requests are none.
+func (connection *connection) headBegun() bool {
+	buffered, _ := connection.reader.Peek(connection.reader.Buffered())
+	return len(bytes.Trim(buffered, "\r\n")) > 0
+}
+
 // headEnd returns the length of the header at the start of data, with the empty line
 // that ends it, or 0 if it is incomplete. The first searched bytes hold no end.
 func headEnd(data []byte, searched int) int {
