acceptor: a request behind a streamed answer is not discarded in a stop

Cause: the header of the streamed answer announced that the connection closes, so that what came in the time of its body was discarded.

Now an answer announces the close only if its whole body is at hand. Behind another one the connection is read for up to a second, as a connection without a request is, and the next answer announces the close. TestRequestBehindStreamedAnswer failed before (the answer announced the close).

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -39,7 +39,8 @@
 	// request that had arrived by then is served.
 	lastReadTime = 20 * time.Millisecond
 	// firstRequestTime is how long a connection without a request is still read after
-	// a stop: its caller is about to send one.
+	// a stop, and one whose last response has not announced that it closes: its caller
+	// is about to send one.
 	firstRequestTime = time.Second
 )
 
@@ -97,6 +98,8 @@
 	pipelined, pipelinedBytes int
 	// newest is the latest request that was accepted.
 	newest *exchange
+	// answered is when the last response ended; zero before the first one.
+	answered time.Time
 	// begun is true while a request is read that has not been accepted.
 	begun bool
 	// reading is the request whose body is being read before it is accepted; nil if
@@ -278,6 +281,7 @@
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	connection.pipelined--
+	connection.answered = time.Now()
 	connection.pipelinedBytes -= exchange.size
 	if connection.phase == phaseIdle || connection.phase == phaseEnd {
 		connection.updateDeadline()
@@ -290,11 +294,13 @@
 
 // closesAfter decides whether the connection closes after the response of exchange,
 // whose header is about to be written. It does if it must, and after the newest
-// request if no more are accepted and none is being read.
-func (connection *connection) closesAfter(exchange *exchange, must bool) bool {
+// request if no more are accepted and none is being read. A response whose body takes
+// time announces nothing: requests that come meanwhile could not be answered.
+func (connection *connection) closesAfter(exchange *exchange, must, takesTime bool) bool {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
-	last := connection.phase == phaseEnd || (connection.stopping || connection.acceptor.isStopping()) && !connection.begun
+	stopping := connection.stopping || connection.acceptor.isStopping()
+	last := connection.phase == phaseEnd || stopping && !connection.begun && !takesTime
 	if must || last && connection.newest == exchange {
 		connection.closing = true
 	}
@@ -369,8 +375,13 @@
 	case connection.phase == phaseEnd:
 		closeWrite(connection.conn)
 		deadline = now.Add(lingerTime)
-	case connection.closing || connection.stopping && connection.newest != nil:
+	case connection.closing:
 		deadline = now.Add(lastReadTime)
+	case connection.stopping && connection.newest != nil:
+		deadline = now.Add(lastReadTime)
+		if next := connection.answered.Add(firstRequestTime); next.After(deadline) {
+			deadline = next
+		}
 	case connection.stopping:
 		deadline = now.Add(firstRequestTime)
 	case connection.newest == nil:
--- a/internal/acceptor/response.go
+++ b/internal/acceptor/response.go
@@ -35,6 +35,8 @@
 	chunked, bodyless bool
 	// closes is true if the connection closes after the response.
 	closes bool
+	// ready is true if the whole body is at hand when the header is sent.
+	ready bool
 	// written counts the bytes of the body.
 	written int64
 	// writer is nil until the responses before this one have been written.
@@ -115,7 +117,8 @@
 	unframed := response.length < 0 && !response.bodyless
 	response.chunked = unframed && request.ProtoAtLeast(1, 1)
 	must := request.Close || !request.ProtoAtLeast(1, 1) || header.Get("Connection") == "close" || !exchange.body.complete.Load()
-	response.closes = exchange.connection.closesAfter(exchange, must)
+	ready := response.ready || response.bodyless || response.length >= 0 && response.written >= response.length
+	response.closes = exchange.connection.closesAfter(exchange, must, !ready)
 	for _, name := range []string{"Connection", "Transfer-Encoding"} {
 		header.Del(name)
 	}
--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -122,6 +122,7 @@
 	if answer.Length() >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length(), 10))
 	}
+	exchangeOf(c.Request()).response.ready = answer.Buffered()
 	c.Response().WriteHeader(answer.Status())
 }
 
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -283,3 +283,37 @@
 	fixture.expectEnd(t)
 	fixture.awaitStop(t)
 }
+
+// TestRequestBehindStreamedAnswer sends a request while the body of the answer before it
+// takes its time, in a stop. That answer announced that the connection closes, and the
+// request was discarded. The connection stays open for a while after such an answer.
+func TestRequestBehindStreamedAnswer(t *testing.T) {
+	for _, during := range []bool{true, false} {
+		fixture := newFixture(t, testLimits)
+		body, rest := io.Pipe()
+		fixture.send(t, get("/1"))
+		fixture.awaitStart(t, "/1")
+		fixture.stop()
+		fixture.answers("/1") <- newAnswer(-1, body)
+		_, _ = io.WriteString(rest, strings.Repeat("x", pendingBytes+1))
+		response, err := http.ReadResponse(fixture.reader, &http.Request{Method: http.MethodGet})
+		if err != nil || response.Close {
+			t.Fatalf("got %+v, %v; want an answer that announces nothing", response, err)
+		}
+		if during {
+			fixture.send(t, post("/2", "pay"))
+		}
+		time.Sleep(2 * lastReadTime)
+		_ = rest.Close()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			t.Fatal(err)
+		}
+		if !during {
+			time.Sleep(2 * lastReadTime)
+			fixture.send(t, post("/2", "pay"))
+		}
+		fixture.awaitStart(t, "/2")
+		fixture.answer("/2")
+		fixture.expect(t, http.MethodPost, http.StatusOK, "/2", true)
+	}
+}
--- a/internal/dispatcher/answer.go
+++ b/internal/dispatcher/answer.go
@@ -64,6 +64,12 @@
 // Length returns the body's length in bytes, or -1 if it is unknown.
 func (answer *Answer) Length() int64 { return answer.length }
 
+// Buffered reports whether the whole body is in memory.
+func (answer *Answer) Buffered() bool {
+	_, ok := answer.body.(*memoryBody)
+	return ok
+}
+
 // Endpoint returns the name of the endpoint that answered.
 func (answer *Answer) Endpoint() string { return answer.endpoint }
 
