acceptor: a read that begins beside the close of a body ends at once

At the end of a request whose body has not been read to its end, close interrupts a pending read by a read deadline in the past and waits for the read. A read that had just begun could set its own deadline (body-timeout, 30 s by default) after the interrupt, so that close, and with it the end of the connection, waited for as long unless the caller sent something or left.

Now close first marks the body as closed, and a read looks at the mark after it has set its deadline: either it sees the mark, or the interrupt comes later.

TestBodyClosesBesideRead starts both at the same moment 2,000 times.

--- a/internal/acceptor/connection_test.go
+++ b/internal/acceptor/connection_test.go
@@ -717,3 +717,37 @@
 	fixture.answer("/4")
 	fixture.expect(t, http.MethodPost, http.StatusOK, "/4", false)
 }
+
+// TestBodyClosesBesideRead checks that a body closes at once although a read of it begins
+// at the same moment. The read could set its time limit after the interrupt.
+func TestBodyClosesBesideRead(t *testing.T) {
+	fixture := newFixture(t, testLimits)
+	caller, host := net.Pipe()
+	t.Cleanup(func() { _ = caller.Close(); _ = host.Close() })
+	connection := newConnection(fixture.acceptor, host)
+	for range 2000 {
+		request, err := http.NewRequest(http.MethodPut, "/", host)
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange := newExchange(connection, request, nil)
+		exchange.limits.bodyTimeout = time.Minute
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, _ = exchange.body.Read(make([]byte, 1))
+		}()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			exchange.body.close()
+		}()
+		for _, task := range []chan struct{}{closed, ended} {
+			select {
+			case <-task:
+			case <-time.After(5 * time.Second):
+				t.Fatal("the body is still read after it was closed")
+			}
+		}
+	}
+}
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -315,7 +315,8 @@
 	// mu is held during a read, so that none goes on after close.
 	mu     sync.Mutex
 	reader io.ReadCloser
-	closed bool
+	// closed is true once no read may begin.
+	closed atomic.Bool
 	// expected is true until the caller has been told to send the body.
 	expected bool
 	// bytes is the number of bytes read.
@@ -348,7 +349,7 @@
 	requestBody.mu.Lock()
 	defer requestBody.mu.Unlock()
 	connection := requestBody.exchange.connection
-	if requestBody.closed {
+	if requestBody.closed.Load() {
 		return 0, http.ErrBodyReadAfterClose
 	}
 	if requestBody.complete.Load() {
@@ -359,6 +360,9 @@
 	}
 	limits := requestBody.exchange.limits
 	connection.allowBody(time.Now().Add(limits.bodyTimeout))
+	if requestBody.closed.Load() {
+		return 0, http.ErrBodyReadAfterClose // The interrupt may have come before allowBody.
+	}
 	count, err := requestBody.reader.Read(buffer)
 	requestBody.bytes += int64(count)
 	if limits.bodyBytes > 0 && requestBody.bytes > limits.bodyBytes {
@@ -393,10 +397,10 @@
 	if requestBody.complete.Load() {
 		return
 	}
+	requestBody.closed.Store(true)
 	requestBody.exchange.connection.interruptBody()
-	requestBody.mu.Lock()
+	requestBody.mu.Lock() // Waits for a pending read.
 	defer requestBody.mu.Unlock()
-	requestBody.closed = true
 }
 
 // refusal returns the refusal for err if the body was too large, or err.
