sender: a stalled upload delays no answer

A caller that paused within the upload of a long body (more than 64 KiB, so that it is passed on while it arrives) got neither the endpoint's early answer nor a refusal until its upload timed out, 30 s later by default: not the 504 at its deadline or at its route's timeout, not the rejection of an endpoint that was full, not an answer that the endpoint gave before it had read the body, and not the 502 once the endpoint's connection had broken. The slot of the endpoint was held as long.

Cause: the end of an exchange closes the connection to the endpoint and waits for the upload. That ends one that writes, but not one that reads from the caller. The wait is for the body's next reader, so that two attempts do not read it at once. A body of which anything beyond the buffered part has been read is never sent again, so that its upload need not be waited for: now only that of a body that can be replayed is. The other one ends when the acceptor closes the body at the end of the request. Whether anything was sent is no longer read from the connection's count once an upload has begun, which may still run: the head was sent before it began.

TestStalledUploadDelaysNoAnswer failed before for all of its six cases (nothing within 5 s; the time limit of the upload is 30 s there).

--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -107,7 +107,7 @@
 	switch {
 	case errors.As(err, &failure):
 		return nil, failure // A response has arrived; another request may use the connection now.
-	case connection.written == exchange.writtenBefore:
+	case exchange.upload == nil && connection.written == exchange.writtenBefore:
 		return nil, dispatcher.NewFailure(causeOf(ctx, dispatcher.Unconnected), false, err)
 	}
 	return nil, dispatcher.NewFailure(causeOf(ctx, dispatcher.ConnectionLost), true, err)
@@ -249,14 +249,17 @@
 	exchange.connection = nil
 }
 
-// abort closes the connection, unless it was returned to the pool.
+// abort closes the connection, unless it was returned to the pool. It waits for the
+// upload, so that the body can be sent again. An upload that reads from the caller, which
+// may pause, is not waited for: such a body is not sent again, and the front end ends its
+// reading.
 func (exchange *exchange) abort() {
 	exchange.stop()
 	if exchange.connection == nil {
 		return
 	}
 	_ = exchange.connection.Close()
-	if exchange.upload != nil {
+	if exchange.upload != nil && exchange.request.Replayable() {
 		exchange.upload.wait()
 	}
 }
