quarantiner: each write of the list of suspects is logged

The logs told which requests became suspects, but not how many calls of the store followed. Each write now logs the crashes and other changes that it holds, the version that the host knew, and the outcome.

--- a/internal/quarantiner/update.go
+++ b/internal/quarantiner/update.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/chivespool/chivespool/internal/connector"
 	"github.com/chivespool/chivespool/internal/detector"
 	"github.com/chivespool/chivespool/internal/encoder"
@@ -97,7 +99,8 @@
 	for _, crash := range unrecorded {
 		changed = list.RecordCrash(crash.fingerprint, crash.id, time.Now(), quarantiner.limits.detectorLimits()) || changed
 	}
-	changed = apply(list) || changed
+	applied := apply(list)
+	changed = applied || changed
 	if !changed {
 		quarantiner.adopt(list, entry.Version(), unrecorded)
 		return false, nil
@@ -106,11 +109,13 @@
 	if err != nil {
 		return false, err
 	}
-	entry, err = quarantiner.store.CompareAndSwap(ctx, storeKey, entry.Version(), data)
+	written, err := quarantiner.store.CompareAndSwap(ctx, storeKey, entry.Version(), data)
+	klog.InfoS("wrote the list of suspects", "crashes", len(unrecorded), "other-changes", applied, "suspects", len(list.Suspects()),
+		"known-version", entry.Version(), "version", written.Version(), "err", err)
 	if err != nil {
 		return false, err
 	}
-	quarantiner.adopt(list, entry.Version(), unrecorded)
+	quarantiner.adopt(list, written.Version(), unrecorded)
 	return true, nil
 }
 
