quarantiner: the suspects are divided among 64 lists

Cause: all suspects were in one value of the store. When many endpoints crash at the same time (replace_with_reuse), each host that loses a request writes that value, and a write of one host is a conflict for all others that write within a round trip. Each conflict cost a write and a read, and hosts far from the store lost again and again.

Change: a Group divides the requests by their fingerprints among 64 quarantiners, each with a key of its own, so that hosts conflict only where requests share a list. One task reads all lists from the host's copy and writes those with changes; the first failed write ends the round, so that an outage still costs one write in 4 s. A list holds 16 suspects where the one list held 128.

TestManyCrashesAtOnce failed with one list (502 calls for 28 hosts, at most 84 allowed) and passes with 64. TestRejectedHost failed with the reading of all lists before the writes left out.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -89,7 +89,7 @@
 	sender     *sender.Sender
 	dispatcher *dispatcher.Dispatcher
 	// quarantiner holds the requests that crash endpoints, which verifier finds.
-	quarantiner *quarantiner.Quarantiner
+	quarantiner *quarantiner.Group
 	verifier    *verifier.Verifier
 	// leaving is true once a planned stop has begun.
 	leaving atomic.Bool
@@ -164,9 +164,8 @@
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
 	gateway.sender.SetObserver(gateway.permitter)
-	gateway.quarantiner = &quarantiner.Quarantiner{}
-	gateway.quarantiner.SetStore(&suspectStore{gateway: gateway})
-	gateway.quarantiner.SetLimits(suspectLimits())
+	gateway.quarantiner = quarantiner.NewGroup(&suspectStore{gateway: gateway, latest: make(map[string]connector.Entry)},
+		suspectLimits(), suspectLists)
 	gateway.verifier = verifier.New(gateway.quarantiner, gateway.sender, gateway.log)
 	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
 	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
--- a/internal/launcher/suspects.go
+++ b/internal/launcher/suspects.go
@@ -14,12 +14,15 @@
 const (
 	// suspectPeriod is how long a request remains a suspect after a crash.
 	suspectPeriod = 15 * time.Minute
-	// maxSuspects bounds the suspects of the fleet, whose list goes to all hosts with
-	// each change.
-	maxSuspects = 128
-	// suspectInterval is the time between two reads of the host's copy of the list.
+	// suspectLists is the number of lists that the suspects of the fleet are divided
+	// among. Hosts conflict where they change the same one at the same time.
+	suspectLists = 64
+	// maxSuspects bounds the suspects of one list, which goes to all hosts with each
+	// change.
+	maxSuspects = 16
+	// suspectInterval is the time between two reads of the host's copy of the lists.
 	suspectInterval = 500 * time.Millisecond
-	// suspectTimeout limits a write of the list, and is the time until the next one if
+	// suspectTimeout limits a write of a list, and is the time until the next one if
 	// it fails.
 	suspectTimeout = 4 * time.Second
 )
@@ -30,24 +33,24 @@
 		WithPoll(suspectInterval).WithMaxWait(suspectTimeout).WithRetry(suspectTimeout).WithoutTrials()
 }
 
-// suspectStore gives the quarantiner the list of suspects. The tracker's copy of the
-// store brings it to every host, so that reading it takes no call of the store.
+// suspectStore gives the quarantiners the lists of suspects. The tracker's copy of the
+// store brings them to every host, so that reading one takes no call of the store.
 type suspectStore struct {
 	gateway *Gateway
 	// mu guards latest.
 	mu sync.Mutex
-	// latest is the entry that the store itself returned last.
-	latest connector.Entry
+	// latest holds the entry of each key that the store itself returned last.
+	latest map[string]connector.Entry
 }
 
 // Get returns the newest entry of key that the host knows.
 func (suspectStore *suspectStore) Get(_ context.Context, key string) (connector.Entry, error) {
 	suspectStore.mu.Lock()
 	defer suspectStore.mu.Unlock()
-	if item, ok := suspectStore.gateway.tracker.Item(key); ok && item.Revision() >= suspectStore.latest.Version() {
+	if item, ok := suspectStore.gateway.tracker.Item(key); ok && item.Revision() >= suspectStore.latest[key].Version() {
 		return connector.NewEntry(item.Value(), item.Revision()), nil
 	}
-	return suspectStore.latest, nil
+	return suspectStore.latest[key], nil
 }
 
 // CompareAndSwap writes key in the store. After a conflict it reads the entry, since
@@ -58,20 +61,20 @@
 	var failure *connector.CallError
 	switch {
 	case err == nil:
-		suspectStore.setLatest(connector.NewEntry(data, revision))
+		suspectStore.setLatest(key, connector.NewEntry(data, revision))
 		return connector.NewEntry(data, revision), nil
 	case errors.As(err, &failure) && (failure.Kind() == connector.Conflict || failure.Kind() == connector.Unknown):
 		item, _, readErr := store.Get(ctx, key)
 		if readErr != nil {
 			return connector.Entry{}, readErr
 		}
-		suspectStore.setLatest(connector.NewEntry(item.Value(), item.Revision()))
+		suspectStore.setLatest(key, connector.NewEntry(item.Value(), item.Revision()))
 	}
 	return connector.Entry{}, err
 }
 
-func (suspectStore *suspectStore) setLatest(entry connector.Entry) {
+func (suspectStore *suspectStore) setLatest(key string, entry connector.Entry) {
 	suspectStore.mu.Lock()
 	defer suspectStore.mu.Unlock()
-	suspectStore.latest = entry
+	suspectStore.latest[key] = entry
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -9,10 +9,12 @@
 //
 // Hosts whose limits are without trials run a suspect like any other request, and count
 // only crashes that follow each other: those of runs that were admitted before the crash
-// of another became known count as one with it.
+// of another became known count as one with it. They use a [Group], which divides the
+// list, since each host that sees a crash writes it.
 package quarantiner
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -26,7 +28,8 @@
 	"github.com/chivespool/chivespool/internal/refuser"
 )
 
-// storeKey is the store's key of the list of suspects.
+// storeKey is the store's key of the list of suspects, and the prefix of the keys of a
+// [Group].
 const storeKey = "chivespool/suspects"
 
 // Store reads and writes entries of the platform's store.
@@ -58,12 +61,15 @@
 // Quarantiner admits requests by a local copy of the list of suspects. The zero
 // value is ready once its store is set; Run keeps the copy up to date.
 type Quarantiner struct {
+	// key is the store's key of the list; empty for storeKey.
+	key       string
 	store     Store
 	announcer Announcer
 	limits    Limits
 	// known is the list that Admit reads; it is replaced, never modified.
 	known atomic.Pointer[detector.List]
-	// wake makes Run synchronize at once; it holds one token.
+	// wake makes Run synchronize at once; it holds one token. A [Group] sets it before
+	// prepare.
 	wake chan struct{}
 	// firstRead runs the read before the first request once.
 	firstRead sync.Once
@@ -201,7 +207,10 @@
 	quarantiner.initialize.Do(func() {
 		// crypto/rand never fails.
 		_, _ = rand.Read(quarantiner.idPrefix[:])
-		quarantiner.wake = make(chan struct{}, 1)
+		quarantiner.key = cmp.Or(quarantiner.key, storeKey)
+		if quarantiner.wake == nil {
+			quarantiner.wake = make(chan struct{}, 1)
+		}
 		quarantiner.writing = make(chan struct{}, 1)
 		quarantiner.limits = quarantiner.limits.orDefault()
 		quarantiner.mu.Lock()
--- a/internal/quarantiner/update.go
+++ b/internal/quarantiner/update.go
@@ -86,7 +86,7 @@
 
 // attempt makes one attempt of update.
 func (quarantiner *Quarantiner) attempt(ctx context.Context, apply func(*detector.List) bool) (bool, error) {
-	entry, err := quarantiner.store.Get(ctx, storeKey)
+	entry, err := quarantiner.store.Get(ctx, quarantiner.key)
 	if err != nil {
 		return false, err
 	}
@@ -109,8 +109,9 @@
 	if err != nil {
 		return false, err
 	}
-	written, err := quarantiner.store.CompareAndSwap(ctx, storeKey, entry.Version(), data)
-	klog.InfoS("wrote the list of suspects", "crashes", len(unrecorded), "other-changes", applied, "suspects", len(list.Suspects()),
+	written, err := quarantiner.store.CompareAndSwap(ctx, quarantiner.key, entry.Version(), data)
+	klog.InfoS("write of a list of suspects", "key", quarantiner.key, "crashes", len(unrecorded),
+		"other-changes", applied, "suspects", len(list.Suspects()),
 		"known-version", entry.Version(), "version", written.Version(), "err", err)
 	if err != nil {
 		return false, err
@@ -119,6 +120,35 @@
 	return true, nil
 }
 
+// refresh reads the list without writing changes.
+func (quarantiner *Quarantiner) refresh(ctx context.Context) error {
+	entry, err := quarantiner.store.Get(ctx, quarantiner.key)
+	if err != nil || quarantiner.holds(entry.Version()) {
+		return err
+	}
+	list, _, err := encoder.DecodeSuspects(entry.Data())
+	if err != nil {
+		return err
+	}
+	quarantiner.adopt(list, entry.Version(), nil)
+	return nil
+}
+
+// holds reports whether the known list is from version of the list or a newer one.
+func (quarantiner *Quarantiner) holds(version uint64) bool {
+	quarantiner.mu.Lock()
+	defer quarantiner.mu.Unlock()
+	return quarantiner.known.Load() != nil && version <= quarantiner.version
+}
+
+// hasChanges reports whether crashes or queued changes of this host may have to be
+// written.
+func (quarantiner *Quarantiner) hasChanges() bool {
+	quarantiner.mu.Lock()
+	defer quarantiner.mu.Unlock()
+	return len(quarantiner.unrecorded) > 0 || len(quarantiner.queued) > 0
+}
+
 // adopt replaces the recorded list by list, unless the recorded one is newer. It
 // drops the unrecorded crashes that are in included, in the recorded list, or
 // without effect.
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -46,7 +46,7 @@
 
 // Verifier tracks the requests of one host. Make one with New.
 type Verifier struct {
-	*quarantiner.Quarantiner
+	*quarantiner.Group
 	prober  Prober
 	journal Journal
 	// pending holds the runs whose connections were lost.
@@ -62,10 +62,10 @@
 }
 
 // New returns a verifier that checks endpoints with prober and records crashes in
-// quarantiner, whose limits must be without trials.
-func New(quarantiner *quarantiner.Quarantiner, prober Prober, journal Journal) *Verifier {
+// group, whose limits must be without trials.
+func New(group *quarantiner.Group, prober Prober, journal Journal) *Verifier {
 	return &Verifier{
-		Quarantiner: quarantiner, prober: prober, journal: journal,
+		Group: group, prober: prober, journal: journal,
 		pending: make(chan dispatcher.Run, maxPending), completed: make(map[[sha256.Size]byte]bool),
 	}
 }
@@ -73,7 +73,7 @@
 // Completed records that an endpoint answered the request.
 func (verifier *Verifier) Completed(fingerprint [sha256.Size]byte) {
 	verifier.remember(fingerprint)
-	verifier.Quarantiner.Completed(fingerprint)
+	verifier.Group.Completed(fingerprint)
 }
 
 // Crashed records that the connection to the endpoint of run was lost; Run checks why.
--- a/internal/verifier/verifier_test.go
+++ b/internal/verifier/verifier_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -17,14 +18,18 @@
 	"github.com/chivespool/chivespool/internal/quarantiner"
 )
 
-// fakeStore is a store of one key whose readers see each change only after lag.
+// fakeStore is a store whose readers see each change only after lag.
 type fakeStore struct {
 	// mu guards the fields below.
-	mu     sync.Mutex
-	lag    time.Duration
-	past   []version
+	mu   sync.Mutex
+	lag  time.Duration
+	past map[string][]version
+	// delay is the time that a call takes each way.
+	delay  time.Duration
 	outage bool
 	writes int
+	// conflicts is the number of writes after which the entry was read.
+	conflicts int
 }
 
 // version is an entry and the time of its write.
@@ -33,18 +38,26 @@
 	at    time.Time
 }
 
-// newest returns the newest entry that is older than lag.
-func (fakeStore *fakeStore) newest(lag time.Duration) connector.Entry {
+// newest returns the newest entry of key that is older than lag.
+func (fakeStore *fakeStore) newest(key string, lag time.Duration) connector.Entry {
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
-	for index := len(fakeStore.past) - 1; index >= 0; index-- {
-		if time.Since(fakeStore.past[index].at) >= lag {
-			return fakeStore.past[index].entry
+	past := fakeStore.past[key]
+	for index := len(past) - 1; index >= 0; index-- {
+		if time.Since(past[index].at) >= lag {
+			return past[index].entry
 		}
 	}
 	return connector.Entry{}
 }
 
+// callCount returns the number of calls: the writes, and the reads after conflicts.
+func (fakeStore *fakeStore) callCount() int {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	return fakeStore.writes + fakeStore.conflicts
+}
+
 func (fakeStore *fakeStore) writeCount() int {
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
@@ -57,24 +70,35 @@
 	fakeStore.outage = outage
 }
 
-// fakeCopy is a host's copy of the store.
+// fakeCopy is a host's copy of the store. Only the quarantiners' task uses it.
 type fakeCopy struct {
 	store *fakeStore
-	// latest is the entry that the store returned after a conflict.
-	latest connector.Entry
+	// latest holds the entries that the store returned after a write.
+	latest map[string]connector.Entry
+	// rejected is true while the store rejects the calls of this host.
+	rejected atomic.Bool
+	// rejections is the number of calls that it rejected.
+	rejections atomic.Int64
 }
 
-func (fakeCopy *fakeCopy) Get(context.Context, string) (connector.Entry, error) {
-	if entry := fakeCopy.store.newest(fakeCopy.store.lag); entry.Version() >= fakeCopy.latest.Version() {
+func (fakeCopy *fakeCopy) Get(_ context.Context, key string) (connector.Entry, error) {
+	latest := fakeCopy.latest[key]
+	if entry := fakeCopy.store.newest(key, fakeCopy.store.lag); entry.Version() >= latest.Version() {
 		return entry, nil
 	}
-	return fakeCopy.latest, nil
+	return latest, nil
 }
 
-func (fakeCopy *fakeCopy) CompareAndSwap(_ context.Context, _ string, expected uint64, data []byte) (connector.Entry, error) {
-	current := fakeCopy.store.newest(0)
-	fakeCopy.latest = current
+func (fakeCopy *fakeCopy) CompareAndSwap(_ context.Context, key string, expected uint64, data []byte) (connector.Entry, error) {
+	if fakeCopy.rejected.Load() {
+		fakeCopy.rejections.Add(1)
+		return connector.Entry{}, connector.NewError(connector.Unavailable, "compare-and-swap", nil)
+	}
 	store := fakeCopy.store
+	time.Sleep(store.delay)
+	defer time.Sleep(store.delay)
+	current := store.newest(key, 0)
+	fakeCopy.latest[key] = current
 	store.mu.Lock()
 	defer store.mu.Unlock()
 	store.writes++
@@ -82,10 +106,11 @@
 		return connector.Entry{}, connector.NewError(connector.Unavailable, "compare-and-swap", nil)
 	}
 	if current.Version() != expected {
+		store.conflicts++
 		return connector.Entry{}, connector.NewError(connector.Conflict, "compare-and-swap", nil)
 	}
 	entry := connector.NewEntry(data, expected+1)
-	store.past = append(store.past, version{entry: entry, at: time.Now()})
+	store.past[key] = append(store.past[key], version{entry: entry, at: time.Now()})
 	return entry, nil
 }
 
@@ -119,6 +144,7 @@
 // host is one host of a fleet.
 type host struct {
 	*Verifier
+	copy  *fakeCopy
 	tasks sync.WaitGroup
 }
 
@@ -126,20 +152,23 @@
 	host.tasks.Go(func() { _ = task.Run(ctx) })
 }
 
+// lists is the number of lists that the hosts divide the suspects among, as gateways do.
+const lists = 64
+
 // withFleet runs test with hosts that share a store and a prober.
 func withFleet(t *testing.T, count int, test func(hosts []*host, store *fakeStore, prober *fakeProber)) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{lag: 300 * time.Millisecond}
+		store := &fakeStore{lag: 300 * time.Millisecond, past: make(map[string][]version)}
 		prober := &fakeProber{crashed: make(map[string]bool)}
 		ctx, cancel := context.WithCancel(t.Context())
 		var hosts []*host
 		for range count {
-			inner := &quarantiner.Quarantiner{}
-			inner.SetStore(&fakeCopy{store: store})
-			inner.SetLimits(quarantiner.DefaultLimits().WithPoll(500 * time.Millisecond).
-				WithRetry(4 * time.Second).WithoutTrials())
-			host := &host{Verifier: New(inner, prober, discardJournal{})}
-			host.run(ctx, inner)
+			limits := quarantiner.DefaultLimits().WithPoll(500 * time.Millisecond).
+				WithRetry(4 * time.Second).WithoutTrials()
+			copied := &fakeCopy{store: store, latest: make(map[string]connector.Entry)}
+			group := quarantiner.NewGroup(copied, limits, lists)
+			host := &host{Verifier: New(group, prober, discardJournal{}), copy: copied}
+			host.run(ctx, group)
 			host.run(ctx, host.Verifier)
 			hosts = append(hosts, host)
 			time.Sleep(7 * time.Millisecond) // The hosts read their copies at different times.
@@ -238,6 +267,30 @@
 	})
 }
 
+// TestManyCrashesAtOnce crashes endpoints while 28 hosts have requests at them, each a
+// different one. Once all hosts wrote one list and conflicted with each other, so that
+// 31 crashes took 393 calls of the store (issue 29, trouble-3 of tausi-ops-grown).
+func TestManyCrashesAtOnce(t *testing.T) {
+	const hostCount = 28
+	withFleet(t, hostCount, func(hosts []*host, store *fakeStore, prober *fakeProber) {
+		store.delay = 14 * time.Millisecond // The nearest region is 12 ms away.
+		for index, host := range hosts {
+			host.crash(t, prober, fmt.Sprint("unlucky-", index), fmt.Sprint("i-", index/3))
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		if calls := store.callCount(); calls > 3*hostCount {
+			t.Errorf("%d calls of the store for crashes seen by %d hosts", calls, hostCount)
+		}
+		for index := range hosts {
+			admission, err := hosts[0].Admit(t.Context(), fingerprint(fmt.Sprint("unlucky-", index)))
+			if err != nil || admission == (quarantiner.Admission{}) {
+				t.Errorf("suspect %d is not known on another host: %v", index, err)
+			}
+		}
+	})
+}
+
 // TestLostConnections loses connections to endpoints that go on, and crashes endpoints
 // during a request that completes elsewhere. Neither makes a suspect or a call of the
 // store.
@@ -283,3 +336,36 @@
 		}
 	})
 }
+
+// TestRejectedHost lets the store reject one host, which has crashes to write in several
+// lists. It must still learn of the suspects of the others, and write seldom.
+func TestRejectedHost(t *testing.T) {
+	withFleet(t, 3, func(hosts []*host, _ *fakeStore, prober *fakeProber) {
+		rejected := hosts[0]
+		rejected.copy.rejected.Store(true)
+		for index := range 8 {
+			rejected.crash(t, prober, fmt.Sprint("unlucky-", index), fmt.Sprint("i-", index))
+		}
+		time.Sleep(time.Second)
+		for index := range 2 {
+			hosts[1].crash(t, prober, "deadly", fmt.Sprint("i-9", index))
+			time.Sleep(1500 * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+		if rejected.crash(t, prober, "deadly", "i-99") {
+			t.Error("a host that the store rejects sent a request that the others refuse")
+		}
+		time.Sleep(12 * time.Second)
+		if calls := rejected.copy.rejections.Load(); calls > 6 {
+			t.Errorf("%d writes in 20 s that the store rejected", calls)
+		}
+		rejected.copy.rejected.Store(false)
+		time.Sleep(6 * time.Second)
+		for index := range 8 {
+			admission, err := hosts[2].Admit(t.Context(), fingerprint(fmt.Sprint("unlucky-", index)))
+			if err != nil || admission == (quarantiner.Admission{}) {
+				t.Errorf("suspect %d was not written once the store answered: %v", index, err)
+			}
+		}
+	})
+}
