soak: hosts that stop are told to reload and to stop once more

Change: two kinds of events, stop-and-hang-up and stop-twice, send SIGHUP or SIGTERM twice while a host stops.

--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -19,6 +19,8 @@
 	ReloadSettings           Kind = "hang-up"
 	KillAll                  Kind = "kill-all"
 	StopInTurn               Kind = "stop-in-turn"
+	StopAndReload            Kind = "stop-and-hang-up"
+	StopTwice                Kind = "stop-twice"
 	StoreOutage              Kind = "store-outage"
 	StoreSlow                Kind = "store-slow"
 	StoreCompacts            Kind = "store-forgets"
@@ -47,7 +49,7 @@
 )
 
 var kinds = []Kind{
-	StopGateway, KillGateway, PauseGateway, ReloadSettings, KillAll, StopInTurn,
+	StopGateway, KillGateway, PauseGateway, ReloadSettings, KillAll, StopInTurn, StopAndReload, StopTwice,
 	StoreOutage, StoreSlow, StoreCompacts, StoreLosesAnswers, StoreRefusesGateway, StoreThrottlesGateway, StoreIgnoresGateway, WatchesReset,
 	StorePathDelayed, StorePathReset, StorePathOneWay, StorePathSilent,
 	EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointReplaced, EndpointDrains, EndpointTruncatesAnswers, EndpointFails, EndpointFull,
--- a/internal/soaker/plan_runner.go
+++ b/internal/soaker/plan_runner.go
@@ -95,6 +95,10 @@
 			gateway.stop()
 			time.Sleep(restartTime)
 		}
+	case StopAndReload:
+		eventRunner.stopWith(syscall.SIGHUP)
+	case StopTwice:
+		eventRunner.stopWith(syscall.SIGTERM)
 	case Publish:
 		return soaker.publish()
 	case PublishStorm:
@@ -120,6 +124,21 @@
 	return nil
 }
 
+// stopWith stops the gateway and sends it a signal at the end of the event, and
+// once more after repeatGap.
+func (eventRunner *eventRunner) stopWith(signal syscall.Signal) {
+	eventRunner.planRunner.taskGroup.add(context.Background(), &stopper{gateway: eventRunner.gateway()})
+	for _, gap := range []time.Duration{eventRunner.event.duration, repeatGap} {
+		time.Sleep(gap)
+		eventRunner.gateway().signal(signal)
+	}
+}
+
+// stopper stops one gateway.
+type stopper struct{ gateway *gateway }
+
+func (stopper *stopper) run(context.Context) { stopper.gateway.stop() }
+
 func (eventRunner *eventRunner) reloadSettings() error {
 	gateway := eventRunner.gateway()
 	if err := gateway.touchSettings(); err != nil {
