soak: stops meet slow uploads, late requests and endpoints that work for seconds

Cause: callers sent whole short requests, one after another, and endpoints worked up to 200 ms.

Change: one slow caller for each two usual ones. It sends the first request of a connection up to 4 s late, heads and bodies in parts over up to 4 s, with a deadline of 2 to 8 s; its endpoints work up to 3.4 s and answer at the end, or in chunks with silence in between. All callers send bodies by length or in chunks, and pipeline up to three requests.

stop-cuts-nothing now knows the first and the last byte of a request, the end of its endpoints' work, and the process that SIGTERM went to. It also counts an answer of the gateway in place of an endpoint that is at work; SIGKILL at the end of the grace time is no disturbance any more, and faults of the store excuse no cut. No request of the former callers (deadline 1.5 s, work up to 0.2 s) came near either.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -34,12 +34,21 @@
 	manyShare, onceShare = 0.5, 0.3
 	// maxBodyWords bounds the number of words of a request body.
 	maxBodyWords = 100
+	// callersPerSlow is the number of usual callers per slow one.
+	callersPerSlow = 2
+	// usualDeadline is the deadline of a usual caller's requests, and
+	// minSlowDeadline and maxSlowDeadline bound that of a slow caller's.
+	usualDeadline   = 1500 * time.Millisecond
+	minSlowDeadline = 2 * time.Second
+	maxSlowDeadline = 8 * time.Second
 )
 
 // caller is a client that resolves gateway addresses and reuses one connection
 // for as long as it is open and its address is listed.
 type caller struct {
-	index     int
+	index int
+	// slow callers take their time to send, and their requests take long.
+	slow      bool
 	soaker    *Soaker
 	random    *rand.Rand
 	count     int
@@ -52,8 +61,8 @@
 	reader        *bufio.Reader
 }
 
-func newCaller(index int, soaker *Soaker) *caller {
-	return &caller{index: index, soaker: soaker, random: rand.New(rand.NewPCG(soaker.seed, uint64(index)+1))}
+func newCaller(index int, soaker *Soaker, slow bool) *caller {
+	return &caller{index: index, slow: slow, soaker: soaker, random: rand.New(rand.NewPCG(soaker.seed, uint64(index)+1))}
 }
 
 func (caller *caller) run(ctx context.Context) {
@@ -62,8 +71,8 @@
 		if time.Since(caller.resolvedAt) > addressLifetime {
 			caller.resolve(ctx)
 		}
-		if caller.conn != nil || caller.connect() {
-			caller.send()
+		if caller.conn != nil || caller.connect() && emulator.Pause(ctx, caller.firstRequestDelay()) == nil {
+			caller.send(ctx)
 		}
 	}
 }
@@ -121,31 +130,50 @@
 	return true
 }
 
-// send sends one request and reads its answer.
-func (caller *caller) send() {
-	caller.count++
-	request := caller.nextRequest()
-	httpRequest, err := platform.NewClientRequest(request.id, request.method, hostName, request.target, []byte(request.body), requestTimeout)
+// send sends one request, or several without waiting for answers, and then reads
+// the answers in order.
+func (caller *caller) send(ctx context.Context) {
+	requests := make([]request, 1+caller.pipelined())
+	httpRequests := make([]*http.Request, len(requests))
+	deadline := caller.deadline()
+	_ = caller.conn.SetDeadline(time.Now().Add(time.Duration(len(requests))*maxSendTime + deadline + waitMargin))
+	count := 0
+	for written := true; written && count < len(requests); count++ {
+		requests[count] = caller.nextRequest(deadline)
+		httpRequests[count], written = caller.write(ctx, &requests[count])
+	}
+	for index, request := range requests[:count] {
+		if caller.conn != nil && !request.sent.IsZero() {
+			caller.readResponse(httpRequests[index], &request)
+		} else {
+			caller.disconnect()
+		}
+		request.ended = time.Now()
+		caller.soaker.journal.addRequest(request)
+	}
+}
+
+// write writes a request, and reports whether all of it was written.
+func (caller *caller) write(ctx context.Context, request *request) (*http.Request, bool) {
+	httpRequest, err := platform.NewClientRequest(request.id, request.method, hostName, request.target, []byte(request.body), request.deadline)
 	if err != nil {
 		caller.soaker.journal.addViolation("soak", err.Error())
-		return
+		return nil, false
 	}
-	_ = caller.conn.SetDeadline(time.Now().Add(requestTimeout + waitMargin))
-	if err := httpRequest.Write(caller.conn); err == nil {
-		request.sent = time.Now()
-		caller.readResponse(httpRequest, &request)
-	} else {
-		caller.disconnect()
+	request.begun = time.Now()
+	if caller.newUpload().write(ctx, caller.conn, httpRequest, request.body) != nil {
+		return nil, false
 	}
-	request.ended = time.Now()
-	caller.soaker.journal.addRequest(request)
+	request.sent = time.Now()
+	return httpRequest, true
 }
 
 // nextRequest returns a request for a random route.
-func (caller *caller) nextRequest() request {
+func (caller *caller) nextRequest(deadline time.Duration) request {
+	caller.count++
 	request := request{
 		id: fmt.Sprintf("%d-%d-%d", caller.soaker.seed, caller.index, caller.count), method: http.MethodGet,
-		repeatable: true, gateway: caller.gateway.name, processNumber: caller.processNumber,
+		repeatable: true, gateway: caller.gateway.name, processNumber: caller.processNumber, deadline: deadline,
 	}
 	switch draw := caller.random.Float64(); {
 	case draw < manyShare:
@@ -156,6 +184,9 @@
 	default:
 		request.target = movedPrefix + request.id
 	}
+	if caller.slow {
+		request.target = caller.newWork().addTo(request.target)
+	}
 	return request
 }
 
@@ -164,14 +195,14 @@
 func (caller *caller) readResponse(httpRequest *http.Request, request *request) {
 	response, err := http.ReadResponse(caller.reader, httpRequest)
 	if err != nil {
-		request.timedOut = isTimeout(err)
+		request.failure, request.timedOut = err, isTimeout(err)
 		caller.disconnect()
 		return
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	if err != nil {
-		request.timedOut = isTimeout(err)
+		request.failure, request.timedOut = err, isTimeout(err)
 		caller.disconnect()
 		return
 	}
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -63,12 +63,26 @@
 // undisturbed reports whether target had no disturbance between from and to, and
 // none that ended less than after before from.
 func (observations *observations) undisturbed(target string, from, to time.Time, after time.Duration) bool {
+	return len(observations.disturbancesOf(target, from, to, after)) == 0
+}
+
+// disturbancesOf returns the disturbances of target between from and to, and those
+// that ended less than after before from.
+func (observations *observations) disturbancesOf(target string, from, to time.Time, after time.Duration) (found []disturbance) {
 	for _, disturbance := range append(slices.Clone(observations.disturbances[target]), observations.disturbances[everywhere]...) {
 		if disturbance.overlaps(from, to, after) {
-			return false
+			found = append(found, disturbance)
 		}
 	}
-	return true
+	return found
+}
+
+// excusesCut reports whether a disturbance of target excuses that the request was
+// cut. A disturbance of the store alone does not.
+func (observations *observations) excusesCut(target string, request request) bool {
+	return slices.ContainsFunc(observations.disturbancesOf(target, request.sent, request.ended, stableWindow), func(disturbance disturbance) bool {
+		return !disturbance.ofStore
+	})
 }
 
 // connected reports whether a gateway was undisturbed for stableWindow before at,
@@ -80,7 +94,7 @@
 // shuttingDown reports whether a gateway was told to stop shortly before at.
 func (observations *observations) shuttingDown(gateway string, at time.Time) bool {
 	for _, stop := range observations.stops[gateway] {
-		if !stop.After(at) && at.Sub(stop) < graceBound+stableWindow {
+		if !stop.at.After(at) && at.Sub(stop.at) < graceBound+stableWindow {
 			return true
 		}
 	}
@@ -289,36 +303,68 @@
 
 func interruptedByStop(observations *observations) (found []string) {
 	for _, request := range observations.requests {
-		if request.sent.IsZero() || request.status != 0 || request.timedOut {
+		runs := observations.runsOf[request.id]
+		if request.sent.IsZero() || request.timedOut || request.status != 0 && !brokenOff(request, runs) {
 			continue
 		}
-		runs := observations.runsOf[request.id]
 		if len(runs) == 0 && request.ended.Sub(request.sent) <= lossSlack {
 			continue
 		}
-		if observations.stoppedDuring(request) && observations.endpointsUndisturbed(request, runs) {
-			found = append(found, fmt.Sprintf("%s by %s got no complete answer after %v; it ran on %v", request.id, request.gateway, request.ended.Sub(request.sent), endpointsOf(runs)))
+		if observations.stoppedDuring(request) && observations.endpointsUndisturbed(request, runs) && !observations.mayEnd(request, runs) {
+			sigterm, _ := observations.firstStop(request)
+			found = append(found, fmt.Sprintf("%s by %s with deadline %v got status %d (%v): begun %.3f s, sent %.3f s, ended %.3f s after SIGTERM; it ran on %v",
+				request.id, request.gateway, request.deadline, request.status, request.failure, request.begun.Sub(sigterm).Seconds(),
+				request.sent.Sub(sigterm).Seconds(), request.ended.Sub(sigterm).Seconds(), endpointsOf(runs)))
 		}
 	}
 	return found
 }
 
+// brokenOff reports whether the gateway answered the request in place of an
+// endpoint that was at work on it.
+func brokenOff(request request, runs []run) bool {
+	return request.signer == "" && slices.ContainsFunc(runs, func(run run) bool { return !run.endedBefore(request.ended.Add(-lossSlack)) })
+}
+
+// mayEnd reports whether a stop may end the request without its endpoint's answer:
+// the endpoint was at work at its deadline, or the request was sent shortly after
+// SIGTERM and the endpoint was at work in the last part of the grace time.
+func (observations *observations) mayEnd(request request, runs []run) bool {
+	deadline := request.begun.Add(request.deadline)
+	if !request.ended.Before(deadline) && slices.ContainsFunc(runs, func(run run) bool { return !run.endedBefore(deadline) }) {
+		return true
+	}
+	sigterm, ok := observations.firstStop(request)
+	lastPart := sigterm.Add(time.Duration(workShare * float64(graceBound)))
+	return ok && !request.sent.After(sigterm.Add(stableWindow)) && slices.ContainsFunc(runs, func(run run) bool { return !run.endedBefore(lastPart) })
+}
+
+// firstStop returns the first SIGTERM to the process that received the request.
+func (observations *observations) firstStop(request request) (time.Time, bool) {
+	for _, stop := range observations.stops[request.gateway] {
+		if stop.processNumber == request.processNumber {
+			return stop.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // stoppedDuring reports whether the request's gateway was told to stop before
-// the request ended, with no other disturbance of that gateway.
+// the request ended, with nothing else that excuses a cut.
 func (observations *observations) stoppedDuring(request request) bool {
 	for _, stop := range observations.stops[request.gateway] {
-		if stop.Before(request.ended) && request.sent.Before(stop.Add(graceBound+time.Second)) {
-			return observations.undisturbed(request.gateway, request.sent, request.ended, stableWindow)
+		if stop.at.Before(request.ended) && request.sent.Before(stop.at.Add(graceBound+time.Second)) {
+			return !observations.excusesCut(request.gateway, request)
 		}
 	}
 	return false
 }
 
-// endpointsUndisturbed reports whether no endpoint that ran the request was
-// disturbed.
+// endpointsUndisturbed reports whether no disturbance of the endpoints that ran the
+// request excuses a cut.
 func (observations *observations) endpointsUndisturbed(request request, runs []run) bool {
 	for _, run := range runs {
-		if !observations.undisturbed(run.endpoint, request.sent, request.ended, stableWindow) {
+		if observations.excusesCut(run.endpoint, request) {
 			return false
 		}
 	}
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -18,13 +18,40 @@
 func servedRequest(id, target string, seconds float64) request {
 	return request{
 		id: id, target: target, repeatable: target[:5] != "/once", gateway: "g0", processNumber: 1,
-		sent: atSeconds(seconds), ended: atSeconds(seconds + 0.05), status: 200,
+		deadline: usualDeadline, begun: atSeconds(seconds), sent: atSeconds(seconds), ended: atSeconds(seconds + 0.05), status: 200,
 		answer: string(answerBody(id, "e")), signer: "e", signed: id,
 	}
 }
 
 func runOn(request request, endpoint, service string) run {
-	return run{id: request.id, endpoint: endpoint, service: service, target: request.target, at: request.sent}
+	return run{id: request.id, endpoint: endpoint, service: service, target: request.target, at: request.sent, ended: request.ended}
+}
+
+// stoppedRequest is a request to the gateway that stops at 30 s; all times are in
+// seconds.
+type stoppedRequest struct {
+	begun, sent, ended, workEnded float64
+	// deadline is a bound beyond all others if 0.
+	deadline float64
+	status   int
+	// notPassedOn is true if no endpoint ran it.
+	notPassedOn bool
+}
+
+// addTo adds the request to journal.
+func (stopped stoppedRequest) addTo(journal *journal) {
+	request := servedRequest("stopped", "/once/x", stopped.sent)
+	request.gateway, request.signer, request.status = "g1", "", stopped.status
+	request.begun, request.ended, request.deadline = atSeconds(stopped.begun), atSeconds(stopped.ended), time.Minute
+	if stopped.deadline > 0 {
+		request.deadline = time.Duration(stopped.deadline * float64(time.Second))
+	}
+	journal.requests = append(journal.requests, request)
+	if !stopped.notPassedOn {
+		run := runOn(request, "e", onceService)
+		run.ended = atSeconds(stopped.workEnded)
+		journal.runs = append(journal.runs, run)
+	}
 }
 
 // validJournal returns a journal without violations: 40 s of requests on every
@@ -46,7 +73,7 @@
 		journal.requests = append(journal.requests, many, once, moved)
 		journal.runs = append(journal.runs, runOn(many, "e", manyService), runOn(once, "e", onceService), runOn(moved, "e", movedServiceOf(version)))
 	}
-	journal.stops = map[string][]time.Time{"g1": {atSeconds(30)}}
+	journal.stops = map[string][]stop{"g1": {{at: atSeconds(30), processNumber: 1}}}
 	return journal
 }
 
@@ -111,6 +138,62 @@
 	}
 }
 
+// TestCutByStop checks which requests without an endpoint's answer count as cut by a
+// stop.
+func TestCutByStop(t *testing.T) {
+	for name, test := range map[string]struct {
+		stopped stoppedRequest
+		cut     bool
+	}{
+		"closed before the last sixth of the grace time":        {stoppedRequest{begun: 31, sent: 31.1, ended: 34.9, workEnded: 34.9}, true},
+		"closed in the last sixth":                              {stoppedRequest{begun: 31, sent: 31.1, ended: 35.6, workEnded: 35.6}, false},
+		"closed in the last sixth after its endpoint had ended": {stoppedRequest{begun: 31, sent: 31.1, ended: 35.6, workEnded: 34}, true},
+		"last byte late":                                    {stoppedRequest{begun: 32.5, sent: 33.5, ended: 35.6, workEnded: 35.6}, true},
+		"all bytes late":                                    {stoppedRequest{begun: 33.5, sent: 33.6, ended: 35.6, workEnded: 35.6}, true},
+		"sent before SIGTERM and closed early":              {stoppedRequest{begun: 28, sent: 29, ended: 32, workEnded: 32}, true},
+		"not passed on and closed at once":                  {stoppedRequest{begun: 31, sent: 32, ended: 32.1, notPassedOn: true}, false},
+		"not passed on and closed later":                    {stoppedRequest{begun: 31, sent: 32, ended: 32.3, notPassedOn: true}, true},
+		"refused without being passed on":                   {stoppedRequest{begun: 31, sent: 32, ended: 33, status: 503, notPassedOn: true}, false},
+		"answered in place of an endpoint at work":          {stoppedRequest{begun: 32.5, sent: 33.5, ended: 34, workEnded: 34, status: 502}, true},
+		"answered after its endpoint had broken off":        {stoppedRequest{begun: 32.5, sent: 33.5, ended: 34, workEnded: 33.7, status: 502}, false},
+		"deadline reached while its endpoint was at work":   {stoppedRequest{begun: 31, sent: 32, ended: 34, workEnded: 34.1, deadline: 3}, false},
+		"passed on after its deadline":                      {stoppedRequest{begun: 30, sent: 33.5, ended: 34.3, workEnded: 34.3, deadline: 3, status: 504}, false},
+		"closed after its deadline, its endpoint had ended": {stoppedRequest{begun: 31, sent: 32, ended: 34.5, workEnded: 33, deadline: 3}, true},
+		"deadline reached without being passed on":          {stoppedRequest{begun: 31, sent: 32, ended: 34, notPassedOn: true, deadline: 3}, true},
+		"deadline not reached":                              {stoppedRequest{begun: 31, sent: 32, ended: 33.9, workEnded: 33.9, deadline: 3}, true},
+	} {
+		journal := validJournal()
+		test.stopped.addTo(journal)
+		violations := check(journal).Violations()
+		if cut := len(violations) == 1 && violations[0].Guarantee() == "stop-cuts-nothing"; cut != test.cut || !cut && len(violations) > 0 {
+			t.Errorf("%s: got %v", name, violations)
+		}
+	}
+}
+
+// TestCutByStopBesideStoreFaults checks that a disturbance of the store excuses no cut,
+// and that one of the gateway or of its processor does.
+func TestCutByStopBesideStoreFaults(t *testing.T) {
+	from, to := atSeconds(31), atSeconds(34)
+	for name, test := range map[string]struct {
+		disturb func(journal *journal)
+		cut     bool
+	}{
+		"store unavailable to all":       {func(journal *journal) { journal.addStoreDisturbance(everywhere, from, to) }, true},
+		"store unavailable to a gateway": {func(journal *journal) { journal.addStoreDisturbance("g1", from, to) }, true},
+		"gateway paused":                 {func(journal *journal) { journal.addDisturbance("g1", from, to, true) }, false},
+		"no processor time":              {func(journal *journal) { journal.addDisturbance(everywhere, from, to, true) }, false},
+	} {
+		journal := validJournal()
+		test.disturb(journal)
+		stoppedRequest{begun: 32.5, sent: 33.5, ended: 35.6, workEnded: 35.6}.addTo(journal)
+		violations := check(journal).Violations()
+		if cut := len(violations) == 1 && violations[0].Guarantee() == "stop-cuts-nothing"; cut != test.cut || !cut && len(violations) > 0 {
+			t.Errorf("%s: got %v", name, violations)
+		}
+	}
+}
+
 // TestChecksTolerateDisturbances checks that failures which a disturbance
 // explains are not reported as violations.
 func TestChecksTolerateDisturbances(t *testing.T) {
--- a/internal/soaker/gateway.go
+++ b/internal/soaker/gateway.go
@@ -263,7 +263,7 @@
 	select {
 	case <-ended:
 	case <-timer.C:
-		gateway.kill()
+		gateway.signal(syscall.SIGKILL) // It belongs to the stop, so that it is no disturbance.
 	}
 }
 
--- a/internal/soaker/journal.go
+++ b/internal/soaker/journal.go
@@ -17,8 +17,11 @@
 	// processNumber the number of its process, counted from 1.
 	gateway       string
 	processNumber int
-	// sent is when the complete request was sent; zero if it was not.
-	sent time.Time
+	// deadline is how long the caller allows for the request, from begun.
+	deadline time.Duration
+	// begun is when the first byte was sent, and sent when the complete request was
+	// sent; zero if it was not.
+	begun, sent time.Time
 	// ended is when the answer was complete or the connection broke.
 	ended time.Time
 	// status is 0 without a complete answer.
@@ -28,6 +31,8 @@
 	// signer and signed are the endpoint and the request id of the answer's
 	// signature.
 	signer, signed string
+	// failure is why there is no complete answer.
+	failure error
 	// timedOut is true if the caller's own timeout expired.
 	timedOut bool
 }
@@ -36,6 +41,23 @@
 type run struct {
 	id, endpoint, service, target, body string
 	at                                  time.Time
+	// ended is when the endpoint had sent its answer or lost its connection; zero if
+	// it was at work at the end of the soak.
+	ended time.Time
+}
+
+// endedBefore reports whether the endpoint had ended its work before moment.
+func (run run) endedBefore(moment time.Time) bool {
+	return !run.ended.IsZero() && run.ended.Before(moment)
+}
+
+// runKey identifies a request that is at work at an endpoint.
+type runKey struct{ endpoint, target string }
+
+// stop is a SIGTERM to a process of a gateway.
+type stop struct {
+	at            time.Time
+	processNumber int
 }
 
 // disturbance is a period in which a target was subject to a fault.
@@ -43,6 +65,8 @@
 	from, to time.Time
 	// slowed is true if a process got no processor time.
 	slowed bool
+	// ofStore is true if only the store was disturbed.
+	ofStore bool
 }
 
 // overlaps reports whether the disturbance, extended by after, overlaps the
@@ -58,6 +82,10 @@
 	mu       sync.Mutex
 	requests []request
 	runs     []run
+	// running holds the indexes of the runs that have not ended.
+	running map[runKey]int
+	// closed is true once checks read the runs.
+	closed bool
 	// disturbances holds the disturbances by the name of a gateway or endpoint,
 	// or everywhere.
 	disturbances map[string][]disturbance
@@ -66,7 +94,7 @@
 	// drains holds when the drain or removal of an endpoint was published.
 	drains map[string]time.Time
 	// stops holds when gateways were told to stop.
-	stops map[string][]time.Time
+	stops map[string][]stop
 	// processNumbers holds the number of each gateway's current process.
 	processNumbers map[string]int
 	// recovered is the time from which requests must be served again after the
@@ -85,16 +113,51 @@
 func (journal *journal) addRun(run run) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
+	if journal.closed {
+		return
+	}
+	if journal.running == nil {
+		journal.running = make(map[runKey]int)
+	}
+	journal.running[runKey{run.endpoint, run.target}] = len(journal.runs)
 	journal.runs = append(journal.runs, run)
 }
 
+// endRun records that endpoint no longer works on the request for target.
+func (journal *journal) endRun(endpoint, target string) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	key := runKey{endpoint, target}
+	if index, ok := journal.running[key]; ok && !journal.closed {
+		journal.runs[index].ended = time.Now()
+		delete(journal.running, key)
+	}
+}
+
+// close ends the recording of runs, so that checks can read and sort them.
+func (journal *journal) close() {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	journal.closed = true
+}
+
 func (journal *journal) addDisturbance(target string, from, to time.Time, slowed bool) {
+	journal.appendDisturbance(target, disturbance{from: from, to: to, slowed: slowed})
+}
+
+// addStoreDisturbance records a period in which the store alone was disturbed, for
+// one gateway or for all.
+func (journal *journal) addStoreDisturbance(target string, from, to time.Time) {
+	journal.appendDisturbance(target, disturbance{from: from, to: to, ofStore: true})
+}
+
+func (journal *journal) appendDisturbance(target string, period disturbance) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	if journal.disturbances == nil {
 		journal.disturbances = make(map[string][]disturbance)
 	}
-	journal.disturbances[target] = append(journal.disturbances[target], disturbance{from: from, to: to, slowed: slowed})
+	journal.disturbances[target] = append(journal.disturbances[target], period)
 }
 
 func (journal *journal) addVersion(version uint64) {
@@ -118,9 +181,9 @@
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	if journal.stops == nil {
-		journal.stops = make(map[string][]time.Time)
+		journal.stops = make(map[string][]stop)
 	}
-	journal.stops[gateway] = append(journal.stops[gateway], time.Now())
+	journal.stops[gateway] = append(journal.stops[gateway], stop{at: time.Now(), processNumber: journal.processNumbers[gateway]})
 }
 
 func (journal *journal) setProcessNumber(gateway string, processNumber int) {
--- a/internal/soaker/plan_runner.go
+++ b/internal/soaker/plan_runner.go
@@ -222,7 +222,7 @@
 	for _, faultInjector := range faultInjectors {
 		faultInjector.SetFaults()
 	}
-	eventRunner.planRunner.soaker.journal.addDisturbance(target, start, time.Now(), false)
+	eventRunner.planRunner.soaker.journal.addStoreDisturbance(target, start, time.Now())
 }
 
 func (eventRunner *eventRunner) injectProxyFaults(proxy *proxy, faults proxyFaults, target string) {
--- a/internal/soaker/routing.go
+++ b/internal/soaker/routing.go
@@ -20,7 +20,7 @@
 	onceService    = "once"
 	movedService   = "moved-"
 	attempts       = 3
-	requestTimeout = 1500 * time.Millisecond
+	routeTimeout   = 8 * time.Second
 	targetLatency  = 500 * time.Millisecond
 	maxBodyBytes   = 1 << 20
 	maxHeaderBytes = 16 << 10
@@ -40,7 +40,7 @@
 
 func newRoute(name, prefix, service string, repeatable bool) definer.Route {
 	return definer.NewRoute(name, prefix, []definer.Destination{definer.NewDestination(service, 1)},
-		definer.RouteRepeatable(repeatable), definer.RouteAttempts(attempts), definer.RouteTimeouts(requestTimeout, targetLatency))
+		definer.RouteRepeatable(repeatable), definer.RouteAttempts(attempts), definer.RouteTimeouts(routeTimeout, targetLatency))
 }
 
 // movedServiceOf returns the service to which a version moves the moved route.
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -49,6 +49,9 @@
 	// minServedShare is the share of requests that must be served after
 	// recovery.
 	minServedShare = 0.25
+	// workShare is the share of graceBound after which an endpoint that is still at
+	// work on a request sent within stableWindow of SIGTERM may lose its caller.
+	workShare = 5.0 / 6
 )
 
 // peerSeedCount is the number of seed gateways of a fleet, as on the platform.
@@ -130,6 +133,7 @@
 	if err := soaker.execute(ctx, plan); err != nil {
 		return nil, err
 	}
+	soaker.journal.close()
 	report := check(soaker.journal)
 	report.seed, report.plan, report.folder = soaker.seed, plan, soaker.folder
 	return report, os.WriteFile(filepath.Join(soaker.folder, "report.txt"), []byte(report.String()), 0o644)
@@ -165,8 +169,9 @@
 			return err
 		}
 	}
-	for index := range soaker.options.callers {
-		soaker.callers = append(soaker.callers, newCaller(index, soaker))
+	for index := range soaker.options.callers + soaker.options.callers/callersPerSlow {
+		slow := index >= soaker.options.callers
+		soaker.callers = append(soaker.callers, newCaller(index, soaker, slow))
 	}
 	return nil
 }
--- a/internal/soaker/stub.go
+++ b/internal/soaker/stub.go
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("start endpoint %s: %w", name, err)
 	}
 	stub := &stub{name: name, service: service, journal: journal, listener: listener}
-	stub.server.Handler = platform.NewStubHandler(stub)
+	stub.server.Handler = &workHandler{stub: stub, handler: platform.NewStubHandler(stub)}
 	stub.taskGroup.add(context.Background(), stub)
 	return stub, nil
 }
@@ -131,7 +131,7 @@
 		id: stubRequest.ID(), endpoint: stub.name, service: stub.service, target: stubRequest.Target(),
 		body: string(stubRequest.Body()), at: time.Now(),
 	})
-	_ = emulator.Pause(ctx, serviceTime(stubRequest.ID())) // The work ends early if the caller disconnects.
+	_ = emulator.Pause(ctx, workOf(stubRequest.Target()).beforeAnswer(stubRequest.ID())) // The work ends early if the caller disconnects.
 	body := answerBody(stubRequest.ID(), stub.name)
 	switch {
 	case stubMode == failing && affected:
