soak: two soaks at once use different ports

Cause: each process counted its ports from 12000, and a port is free while its gateway restarts.

Change: a process holds a block of 1,000 ports by listening on the first.

--- a/internal/soaker/gateway.go
+++ b/internal/soaker/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -142,27 +142,55 @@
 
 // firstPort and lastPort bound the ports of gateways. They are below the
 // system's range for outgoing connections, one of which could otherwise take the
-// port of a gateway while its process is down.
+// port of a gateway while its process is down. Each process takes a block of
+// portsPerProcess of them, so that two that run at once do not share a port.
 const (
-	firstPort = 12000
-	lastPort  = 30000
+	firstPort       = 12000
+	lastPort        = 30000
+	portsPerProcess = 1000
 )
 
-// usedPorts counts the ports that this process has tried.
-var usedPorts atomic.Int64
+// portAllocator hands out the ports of this process in turn. The zero value is
+// ready to use.
+type portAllocator struct {
+	// mu guards the fields below.
+	mu sync.Mutex
+	// block listens on the first port of the block; nil before the first call.
+	block net.Listener
+	// count is the number of ports that were handed out.
+	count int
+}
+
+var ports portAllocator
+
+// next returns the next port of the block.
+func (portAllocator *portAllocator) next() (int, error) {
+	portAllocator.mu.Lock()
+	defer portAllocator.mu.Unlock()
+	for port := firstPort; portAllocator.block == nil; port += portsPerProcess {
+		if port+portsPerProcess > lastPort {
+			return 0, fmt.Errorf("no free block of ports from %d to %d; stop the processes that use them", firstPort, lastPort)
+		}
+		portAllocator.block, _ = net.Listen("tcp", loopbackAddress(port)) // It fails if another process has the block.
+	}
+	portAllocator.count++
+	return portAllocator.block.Addr().(*net.TCPAddr).Port + 1 + portAllocator.count%(portsPerProcess-1), nil
+}
+
+func loopbackAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // freeAddress returns a loopback address on which no listener is open.
 func freeAddress() (string, error) {
-	for {
-		port := firstPort + usedPorts.Add(1)
-		if port > lastPort {
-			return "", fmt.Errorf("no free port from %d to %d; stop the processes that use them", firstPort, lastPort)
+	for range portsPerProcess {
+		port, err := ports.next()
+		if err != nil {
+			return "", err
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if listener, err := net.Listen("tcp", address); err == nil {
-			return address, listener.Close()
+		if listener, err := net.Listen("tcp", loopbackAddress(port)); err == nil {
+			return loopbackAddress(port), listener.Close()
 		}
 	}
+	return "", errors.New("all ports of this process are in use; run fewer fleets at once")
 }
 
 // touchSettings rewrites the settings file without a change of its settings.
