soak: a cut names why its connection ended

Cause: a request that is written behind another one and gets no answer was reported without the reason, and counted also where the caller's own timeout had ended the connection.

Change: such a request takes over the failure of its connection, its time-out included, or the status of the answer that announced the end.

Run: go test ./internal/soaker.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -59,6 +59,8 @@
 	processNumber int
 	conn          net.Conn
 	reader        *bufio.Reader
+	// lastFailure is why the last connection ended.
+	lastFailure error
 }
 
 func newCaller(index int, soaker *Soaker, slow bool) *caller {
@@ -145,8 +147,9 @@
 	for index, request := range requests[:count] {
 		if caller.conn != nil && !request.sent.IsZero() {
 			caller.readResponse(httpRequests[index], &request)
-		} else {
-			caller.disconnect()
+		} else if caller.disconnect(); !request.sent.IsZero() {
+			request.failure = fmt.Errorf("behind another request: %w", caller.lastFailure)
+			request.timedOut = isTimeout(caller.lastFailure)
 		}
 		request.ended = time.Now()
 		caller.soaker.journal.addRequest(request)
@@ -195,20 +198,21 @@
 func (caller *caller) readResponse(httpRequest *http.Request, request *request) {
 	response, err := http.ReadResponse(caller.reader, httpRequest)
 	if err != nil {
-		request.failure, request.timedOut = err, isTimeout(err)
+		caller.lastFailure, request.failure, request.timedOut = err, err, isTimeout(err)
 		caller.disconnect()
 		return
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	if err != nil {
-		request.failure, request.timedOut = err, isTimeout(err)
+		caller.lastFailure, request.failure, request.timedOut = err, err, isTimeout(err)
 		caller.disconnect()
 		return
 	}
 	request.status, request.answer = response.StatusCode, string(body)
 	request.signer, request.signed, _ = platform.Signature(response.Header)
 	if response.Close {
+		caller.lastFailure = fmt.Errorf("an answer with status %d announced the end of the connection", response.StatusCode)
 		caller.disconnect()
 	}
 }
