soak: callers read answers while they send

Cause: a caller that sent several requests read no answer before it had sent the last one, up to 4 s later, and so saw the end of the connection late: a request that crossed the close (6-27-1, closed 4.405 s after SIGTERM by the log, seen at 4.466 s) counted as cut. It also stopped an upload only when a write failed, so that it missed an early refusal.

Change: a caller waits for the next part of a request by reading: it takes the answers that come, and stops the upload once its own answer or the end of the connection comes. A request that was not passed on and is behind an answer that broke off is left to the check of that answer, since no answer can follow it (1-29-6 behind 1-29-5, whose deadline passed in the middle of the answer).

Run: go test -race ./internal/soaker (TestCallerRecordsPipeline is new).

--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -307,8 +307,8 @@
 		if request.sent.IsZero() || request.timedOut || request.status != 0 && !brokenOff(request, runs) {
 			continue
 		}
-		if len(runs) == 0 && request.ended.Sub(request.sent) <= lossSlack {
-			continue
+		if len(runs) == 0 && (request.brokenBehind || request.ended.Sub(request.sent) <= lossSlack) {
+			continue // Where another answer broke off, the check judges that one.
 		}
 		if observations.stoppedDuring(request) && observations.endpointsUndisturbed(request, runs) && !observations.mayEnd(request, runs) {
 			sigterm, _ := observations.firstStop(request)
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -36,12 +36,15 @@
 	status   int
 	// notPassedOn is true if no endpoint ran it.
 	notPassedOn bool
+	// brokenBehind is true if an answer before it on its connection broke off.
+	brokenBehind bool
 }
 
 // addTo adds the request to journal.
 func (stopped stoppedRequest) addTo(journal *journal) {
 	request := servedRequest("stopped", "/once/x", stopped.sent)
 	request.gateway, request.signer, request.status = "g1", "", stopped.status
+	request.brokenBehind = stopped.brokenBehind
 	request.begun, request.ended, request.deadline = atSeconds(stopped.begun), atSeconds(stopped.ended), time.Minute
 	if stopped.deadline > 0 {
 		request.deadline = time.Duration(stopped.deadline * float64(time.Second))
@@ -153,6 +156,8 @@
 		"sent before SIGTERM and closed early":              {stoppedRequest{begun: 28, sent: 29, ended: 32, workEnded: 32}, true},
 		"not passed on and closed at once":                  {stoppedRequest{begun: 31, sent: 32, ended: 32.1, notPassedOn: true}, false},
 		"not passed on and closed later":                    {stoppedRequest{begun: 31, sent: 32, ended: 32.3, notPassedOn: true}, true},
+		"not passed on behind a broken answer":              {stoppedRequest{begun: 31, sent: 32, ended: 32.3, notPassedOn: true, brokenBehind: true}, false},
+		"passed on behind a broken answer":                  {stoppedRequest{begun: 31, sent: 32, ended: 32.3, workEnded: 32.3, brokenBehind: true}, true},
 		"refused without being passed on":                   {stoppedRequest{begun: 31, sent: 32, ended: 33, status: 503, notPassedOn: true}, false},
 		"answered in place of an endpoint at work":          {stoppedRequest{begun: 32.5, sent: 33.5, ended: 34, workEnded: 34, status: 502}, true},
 		"answered after its endpoint had broken off":        {stoppedRequest{begun: 32.5, sent: 33.5, ended: 34, workEnded: 33.7, status: 502}, false},
--- a/internal/soaker/journal.go
+++ b/internal/soaker/journal.go
@@ -33,6 +33,9 @@
 	signer, signed string
 	// failure is why there is no complete answer.
 	failure error
+	// brokenBehind is true if the answer to a request before it on its connection broke
+	// off, so that none could follow.
+	brokenBehind bool
 	// timedOut is true if the caller's own timeout expired.
 	timedOut bool
 }
--- a/internal/soaker/upload.go
+++ b/internal/soaker/upload.go
@@ -2,15 +2,12 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
-
-	"github.com/chivespool/chivespool/internal/emulator"
 )
 
 const (
@@ -85,8 +82,14 @@
 	return upload
 }
 
-// write writes a request to conn. It returns early if ctx is done.
-func (upload upload) write(ctx context.Context, conn net.Conn, request *http.Request, body string) error {
+// pauser waits between two parts of a request. It returns an error if no part may
+// follow.
+type pauser interface {
+	pause(duration time.Duration) error
+}
+
+// write writes a request to conn.
+func (upload upload) write(conn net.Conn, pauser pauser, request *http.Request, body string) error {
 	if upload.chunks > 0 && body != "" {
 		var chunks []io.Reader
 		for _, chunk := range divide(body, upload.chunks) {
@@ -100,17 +103,17 @@
 	}
 	const headEnd = "\r\n\r\n"
 	head, rest, _ := strings.Cut(message.String(), headEnd)
-	if err := upload.writeParts(ctx, conn, head+headEnd, upload.headTime); err != nil {
+	if err := upload.writeParts(conn, pauser, head+headEnd, upload.headTime); err != nil {
 		return err
 	}
-	return upload.writeParts(ctx, conn, rest, upload.bodyTime)
+	return upload.writeParts(conn, pauser, rest, upload.bodyTime)
 }
 
 // writeParts writes text in parts, with equal pauses that take duration together.
-func (upload upload) writeParts(ctx context.Context, conn net.Conn, text string, duration time.Duration) error {
+func (upload upload) writeParts(conn net.Conn, pauser pauser, text string, duration time.Duration) error {
 	for index, part := range divide(text, upload.parts) {
 		if index > 0 {
-			if err := emulator.Pause(ctx, duration/time.Duration(upload.parts-1)); err != nil {
+			if err := pauser.pause(duration / time.Duration(upload.parts-1)); err != nil {
 				return err
 			}
 		}
