scripts/soak-broken.sh: broken daemons for the new cases of stop-cuts-nothing

Cause: three replaced texts had moved or gone (whole-answer, stop-cuts-nothing, ended-by-itself), so that the script ended with an error; and nothing showed that the soak sees a request that is passed on too late, or a signal during a stop that ends the process.

Change: the texts are those of the present code; three more daemons pass requests on until the end of the stop, and end at a second SIGTERM and at a SIGHUP during a stop.

--- a/scripts/soak-broken.sh
+++ b/scripts/soak-broken.sh
@@ -33,7 +33,7 @@
   "$scratch/chivessoak" --daemon "$scratch/daemon" --out "$scratch/out" --seeds "$seeds" --kinds "$kinds" --jobs 4 --trouble 8s \
     >"$scratch/$guarantee.txt" 2>&1 || true
   count=$(grep -c "^  $guarantee: " "$scratch/$guarantee.txt" || true)
-  echo "deliberately broken: $guarantee violated $count times"
+  echo "deliberately broken, $kinds: $guarantee violated $count times"
   if [ "$count" -eq 0 ]; then
     cat "$scratch/$guarantee.txt"
     status=1
@@ -45,7 +45,7 @@
 
 expect_violation ran-once 1-2 endpoint-cuts-answers,endpoint-reset internal/dispatcher/attempt.go 'return attempts.repeatable || attempts.ran == refuser.NotRun' 'return true'
 expect_violation not-run-is-true 1-2 endpoint-cuts-answers,endpoint-reset $protocol 'return http.StatusBadGateway' 'return http.StatusServiceUnavailable'
-expect_violation whole-answer 1 publish internal/acceptor/serve.go 'acceptor.setWriteDeadline(c)' 'buffer[0] ^= 1'
+expect_violation whole-answer 1 publish internal/acceptor/serve.go 'c.Response().Write(buffer[:count])' 'c.Response().Write(append([]byte{buffer[0] ^ 1}, buffer[1:count]...))'
 expect_violation unchanged 1 publish $protocol 'incoming.Method, target, incoming.Header' 'incoming.Method, target + "x", incoming.Header'
 expect_violation routed 1 publish internal/launcher/directory.go 'gateway.tracker.View().Endpoints(service)' 'gateway.tracker.View().Endpoints("many")'
 expect_violation served-route 1 publish internal/definer/route.go 'strings.HasPrefix(path, route.prefix)' 'strings.HasPrefix(path, "/many/")'
@@ -64,9 +64,15 @@
   $race "$failed" 'race.best.status < http.StatusContinue || call.attempts.made > 6' $race '|| !dispatcher.budget.spend(call.service)' ''
 expect_violation budget 1 endpoint-fails $race "$failed" 'race.best.status < http.StatusContinue || call.attempts.made > 1' \
   $race '|| !dispatcher.budget.spend(call.service)' ''
-expect_violation stop-cuts-nothing 1-2 stop-gateway internal/launcher/drainer.go 'acceptShare = 0.48' 'acceptShare = 0' internal/launcher/drainer.go 'endShare = 0.94' 'endShare = 0.0001'
+stopper=internal/stopper/stopper.go
+signals=cmd/chivespoold/signals.go
+reset='signal.Reset(syscall.SIGINT)'
+expect_violation stop-cuts-nothing 1-2 stop-gateway $stopper 'acceptShare   = 0.48' 'acceptShare   = 0' $stopper 'endShare = 0.94' 'endShare = 0.0001'
+expect_violation stop-cuts-nothing 1-4 stop-gateway,stop-in-turn $stopper 'startShare   = 0.43' 'startShare   = 0.94' $stopper '3*time.Second - maxDelay' '6 * time.Second'
+expect_violation stop-cuts-nothing 1-2 stop-twice $signals "$reset" 'signal.Reset(syscall.SIGINT, syscall.SIGTERM)'
+expect_violation stop-cuts-nothing 1-2 stop-and-hang-up $signals "$reset" 'signal.Reset(syscall.SIGINT, syscall.SIGHUP)'
 expect_violation recovers 1 publish internal/launcher/directory.go 'return gateway.tracker.View().Endpoints(service)' \
   'if time.Since(time.Unix(0, int64(gateway.self.Incarnation()))) > 10*time.Second { return nil }
 	return gateway.tracker.View().Endpoints(service)'
-expect_violation ended-by-itself 1-2 hang-up internal/launcher/launcher.go 'signal.Notify(hangups, syscall.SIGHUP)' 'signal.Notify(hangups, syscall.SIGUSR1)'
+expect_violation ended-by-itself 1-2 hang-up $signals 'signal.Notify(signals.hangups, syscall.SIGHUP)' 'signal.Notify(signals.hangups, syscall.SIGUSR1)'
 exit $status
