soak: a reload cuts no request, and a hedge excuses no lost answer

Cause: the rule LOST holds for SIGHUP as well, and no check covered it. An endpoint at work excused a cut also where another one had completed its answer to the same request. Two runs of a request at one endpoint shared one record, so that the first counted as never ended.

Change: stop-cuts-nothing covers requests sent up to 2 s after a SIGHUP and cut after it; a run knows whether its endpoint ended by itself, and is recorded with its request.

Run: go test -race ./internal/soaker, with TestCutByReload and TestCutByLostHedge new.

--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -331,12 +331,24 @@
 // SIGTERM and the endpoint was at work in the last part of the grace time.
 func (observations *observations) mayEnd(request request, runs []run) bool {
 	deadline := request.begun.Add(request.deadline)
-	if !request.ended.Before(deadline) && slices.ContainsFunc(runs, func(run run) bool { return !run.endedBefore(deadline) }) {
+	if !request.ended.Before(deadline) && atWorkAt(runs, deadline) {
 		return true
 	}
 	sigterm, ok := observations.firstStop(request)
-	lastPart := sigterm.Add(time.Duration(workShare * float64(graceBound)))
-	return ok && !request.sent.After(sigterm.Add(stableWindow)) && slices.ContainsFunc(runs, func(run run) bool { return !run.endedBefore(lastPart) })
+	return ok && !request.sent.After(sigterm.Add(stableWindow)) && atWorkAt(runs, sigterm.Add(time.Duration(workShare*float64(graceBound))))
+}
+
+// atWorkAt reports whether one of runs had not ended by moment, and none was
+// complete.
+func atWorkAt(runs []run, moment time.Time) bool {
+	atWork := false
+	for _, run := range runs {
+		if run.complete && run.endedBefore(moment) {
+			return false
+		}
+		atWork = atWork || !run.endedBefore(moment)
+	}
+	return atWork
 }
 
 // firstStop returns the first SIGTERM to the process that received the request.
@@ -349,14 +361,19 @@
 	return time.Time{}, false
 }
 
-// stoppedDuring reports whether the request's gateway was told to stop before
-// the request ended, with nothing else that excuses a cut.
+// stoppedDuring reports whether the request's gateway was told to stop or to reload
+// its settings before the request ended, with nothing else that excuses a cut.
 func (observations *observations) stoppedDuring(request request) bool {
 	for _, stop := range observations.stops[request.gateway] {
 		if stop.at.Before(request.ended) && request.sent.Before(stop.at.Add(graceBound+time.Second)) {
 			return !observations.excusesCut(request.gateway, request)
 		}
 	}
+	for _, reload := range observations.reloads[request.gateway] {
+		if reload.Before(request.ended) && request.sent.Before(reload.Add(applyBound)) {
+			return !observations.excusesCut(request.gateway, request)
+		}
+	}
 	return false
 }
 
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -38,6 +38,8 @@
 	notPassedOn bool
 	// brokenBehind is true if an answer before it on its connection broke off.
 	brokenBehind bool
+	// workComplete is true if its endpoint has ended by itself.
+	workComplete bool
 }
 
 // addTo adds the request to journal.
@@ -52,7 +54,7 @@
 	journal.requests = append(journal.requests, request)
 	if !stopped.notPassedOn {
 		run := runOn(request, "e", onceService)
-		run.ended = atSeconds(stopped.workEnded)
+		run.ended, run.complete = atSeconds(stopped.workEnded), stopped.workComplete
 		journal.runs = append(journal.runs, run)
 	}
 }
@@ -176,6 +178,36 @@
 	}
 }
 
+// TestCutByReload checks that a request that is cut after its gateway was told to
+// reload its settings counts, if it was sent before or shortly after that.
+func TestCutByReload(t *testing.T) {
+	for sent, want := range map[float64]bool{19: true, 21.9: true, 22.1: false} {
+		journal := validJournal()
+		journal.reloads = map[string][]time.Time{"g1": {atSeconds(20)}}
+		stoppedRequest{begun: sent, sent: sent, ended: sent + 2, workEnded: sent + 2}.addTo(journal)
+		violations := check(journal).Violations()
+		if cut := len(violations) == 1 && violations[0].Guarantee() == "stop-cuts-nothing"; cut != want || !cut && len(violations) > 0 {
+			t.Errorf("sent %v s after the reload: got %v", sent-20, violations)
+		}
+	}
+}
+
+// TestCutByLostHedge checks that an endpoint that is still at work does not excuse the
+// loss of another one's complete answer.
+func TestCutByLostHedge(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		journal := validJournal()
+		stoppedRequest{begun: 31, sent: 31.1, ended: 35.6, workEnded: 33, workComplete: complete}.addTo(journal)
+		journal.requests[len(journal.requests)-1].repeatable = true
+		hedge := journal.runs[len(journal.runs)-1]
+		hedge.endpoint, hedge.ended, hedge.complete = "f", atSeconds(35.6), false
+		journal.runs = append(journal.runs, hedge)
+		if cut := len(check(journal).Violations()) > 0; cut != complete {
+			t.Errorf("first endpoint complete: %v, counted as cut: %v", complete, cut)
+		}
+	}
+}
+
 // TestCutByStopBesideStoreFaults checks that a disturbance of the store excuses no cut,
 // and that one of the gateway or of its processor does.
 func TestCutByStopBesideStoreFaults(t *testing.T) {
--- a/internal/soaker/gateway.go
+++ b/internal/soaker/gateway.go
@@ -277,6 +277,9 @@
 	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
 		gateway.expected = true
 	}
+	if signal == syscall.SIGHUP {
+		gateway.journal.addReload(gateway.name)
+	}
 	_ = gateway.process.Process.Signal(signal) // The process may have ended meanwhile.
 }
 
--- a/internal/soaker/journal.go
+++ b/internal/soaker/journal.go
@@ -47,6 +47,8 @@
 	// ended is when the endpoint had sent its answer or lost its connection; zero if
 	// it was at work at the end of the soak.
 	ended time.Time
+	// complete is true if the endpoint has ended by itself.
+	complete bool
 }
 
 // endedBefore reports whether the endpoint had ended its work before moment.
@@ -54,9 +56,6 @@
 	return !run.ended.IsZero() && run.ended.Before(moment)
 }
 
-// runKey identifies a request that is at work at an endpoint.
-type runKey struct{ endpoint, target string }
-
 // stop is a SIGTERM to a process of a gateway.
 type stop struct {
 	at            time.Time
@@ -85,8 +84,6 @@
 	mu       sync.Mutex
 	requests []request
 	runs     []run
-	// running holds the indexes of the runs that have not ended.
-	running map[runKey]int
 	// closed is true once checks read the runs.
 	closed bool
 	// disturbances holds the disturbances by the name of a gateway or endpoint,
@@ -96,8 +93,10 @@
 	versions []time.Time
 	// drains holds when the drain or removal of an endpoint was published.
 	drains map[string]time.Time
-	// stops holds when gateways were told to stop.
-	stops map[string][]stop
+	// stops holds when gateways were told to stop, and reloads when they were told to
+	// reload their settings.
+	stops   map[string][]stop
+	reloads map[string][]time.Time
 	// processNumbers holds the number of each gateway's current process.
 	processNumbers map[string]int
 	// recovered is the time from which requests must be served again after the
@@ -113,27 +112,26 @@
 	journal.requests = append(journal.requests, request)
 }
 
-func (journal *journal) addRun(run run) {
+// addRun records the start of a run, and returns its index for endRun.
+func (journal *journal) addRun(run run) int {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	if journal.closed {
-		return
-	}
-	if journal.running == nil {
-		journal.running = make(map[runKey]int)
+		return noRun
 	}
-	journal.running[runKey{run.endpoint, run.target}] = len(journal.runs)
 	journal.runs = append(journal.runs, run)
+	return len(journal.runs) - 1
 }
 
-// endRun records that endpoint no longer works on the request for target.
-func (journal *journal) endRun(endpoint, target string) {
+// noRun is the index of a run that is not recorded.
+const noRun = -1
+
+// endRun records the end of a run.
+func (journal *journal) endRun(index int, complete bool) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
-	key := runKey{endpoint, target}
-	if index, ok := journal.running[key]; ok && !journal.closed {
-		journal.runs[index].ended = time.Now()
-		delete(journal.running, key)
+	if index != noRun && !journal.closed {
+		journal.runs[index].ended, journal.runs[index].complete = time.Now(), complete
 	}
 }
 
@@ -189,6 +187,15 @@
 	journal.stops[gateway] = append(journal.stops[gateway], stop{at: time.Now(), processNumber: journal.processNumbers[gateway]})
 }
 
+func (journal *journal) addReload(gateway string) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if journal.reloads == nil {
+		journal.reloads = make(map[string][]time.Time)
+	}
+	journal.reloads[gateway] = append(journal.reloads[gateway], time.Now())
+}
+
 func (journal *journal) setProcessNumber(gateway string, processNumber int) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
--- a/internal/soaker/stub.go
+++ b/internal/soaker/stub.go
@@ -127,7 +127,8 @@
 		defer stub.mu.Unlock()
 		stub.running--
 	}()
-	stub.journal.addRun(run{
+	index := ctx.Value(runKey{}).(*int)
+	*index = stub.journal.addRun(run{
 		id: stubRequest.ID(), endpoint: stub.name, service: stub.service, target: stubRequest.Target(),
 		body: string(stubRequest.Body()), at: time.Now(),
 	})
--- a/internal/soaker/work.go
+++ b/internal/soaker/work.go
@@ -81,9 +81,14 @@
 	handler http.Handler
 }
 
+// runKey is the key of the index of a run in the context of its request.
+type runKey struct{}
+
 // ServeHTTP serves a request or a health check.
 func (workHandler *workHandler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	defer workHandler.stub.journal.endRun(workHandler.stub.name, request.RequestURI)
+	index := noRun
+	request = request.WithContext(context.WithValue(request.Context(), runKey{}, &index))
+	defer func() { workHandler.stub.journal.endRun(index, request.Context().Err() == nil) }()
 	if work := workOf(request.RequestURI); work.parts > 0 {
 		writer = &partsWriter{ResponseWriter: writer, ctx: request.Context(), work: work}
 	}
