--- a/internal/soaker/journal.go
+++ b/internal/soaker/journal.go
@@ -17,8 +17,11 @@
 	// processNumber the number of its process, counted from 1.
 	gateway       string
 	processNumber int
-	// sent is when the complete request was sent; zero if it was not.
-	sent time.Time
+	// deadline is how long the caller allows for the request, from begun.
+	deadline time.Duration
+	// begun is when the first byte was sent, and sent when the complete request was
+	// sent; zero if it was not.
+	begun, sent time.Time
 	// ended is when the answer was complete or the connection broke.
 	ended time.Time
 	// status is 0 without a complete answer.
@@ -28,6 +31,11 @@
 	// signer and signed are the endpoint and the request id of the answer's
 	// signature.
 	signer, signed string
+	// failure is why there is no complete answer.
+	failure error
+	// brokenBehind is true if the answer to a request before it on its connection broke
+	// off, so that none could follow.
+	brokenBehind bool
 	// timedOut is true if the caller's own timeout expired.
 	timedOut bool
 }
@@ -36,6 +44,22 @@
 type run struct {
 	id, endpoint, service, target, body string
 	at                                  time.Time
+	// ended is when the endpoint had sent its answer or lost its connection; zero if
+	// it was at work at the end of the soak.
+	ended time.Time
+	// complete is true if the endpoint has ended by itself.
+	complete bool
+}
+
+// endedBefore reports whether the endpoint had ended its work before moment.
+func (run run) endedBefore(moment time.Time) bool {
+	return !run.ended.IsZero() && run.ended.Before(moment)
+}
+
+// stop is a SIGTERM to a process of a gateway.
+type stop struct {
+	at            time.Time
+	processNumber int
 }
 
 // disturbance is a period in which a target was subject to a fault.
@@ -43,6 +67,8 @@
 	from, to time.Time
 	// slowed is true if a process got no processor time.
 	slowed bool
+	// ofStore is true if only the store was disturbed.
+	ofStore bool
 }
 
 // overlaps reports whether the disturbance, extended by after, overlaps the
@@ -58,6 +84,8 @@
 	mu       sync.Mutex
 	requests []request
 	runs     []run
+	// closed is true once checks read the runs.
+	closed bool
 	// disturbances holds the disturbances by the name of a gateway or endpoint,
 	// or everywhere.
 	disturbances map[string][]disturbance
@@ -65,8 +93,10 @@
 	versions []time.Time
 	// drains holds when the drain or removal of an endpoint was published.
 	drains map[string]time.Time
-	// stops holds when gateways were told to stop.
-	stops map[string][]time.Time
+	// stops holds when gateways were told to stop, and reloads when they were told to
+	// reload their settings.
+	stops   map[string][]stop
+	reloads map[string][]time.Time
 	// processNumbers holds the number of each gateway's current process.
 	processNumbers map[string]int
 	// recovered is the time from which requests must be served again after the
@@ -82,19 +112,53 @@
 	journal.requests = append(journal.requests, request)
 }
 
-func (journal *journal) addRun(run run) {
+// addRun records the start of a run, and returns its index for endRun.
+func (journal *journal) addRun(run run) int {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
+	if journal.closed {
+		return noRun
+	}
 	journal.runs = append(journal.runs, run)
+	return len(journal.runs) - 1
+}
+
+// noRun is the index of a run that is not recorded.
+const noRun = -1
+
+// endRun records the end of a run.
+func (journal *journal) endRun(index int, complete bool) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if index != noRun && !journal.closed {
+		journal.runs[index].ended, journal.runs[index].complete = time.Now(), complete
+	}
+}
+
+// close ends the recording of runs, so that checks can read and sort them.
+func (journal *journal) close() {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	journal.closed = true
 }
 
 func (journal *journal) addDisturbance(target string, from, to time.Time, slowed bool) {
+	journal.appendDisturbance(target, disturbance{from: from, to: to, slowed: slowed})
+}
+
+// addStoreDisturbance records a period in which the store alone was disturbed, for
+// one gateway or for all.
+func (journal *journal) addStoreDisturbance(target string, from, to time.Time) {
+	journal.appendDisturbance(target, disturbance{from: from, to: to, ofStore: true})
+}
+
+func (journal *journal) appendDisturbance(target string, period disturbance) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	if journal.disturbances == nil {
 		journal.disturbances = make(map[string][]disturbance)
 	}
-	journal.disturbances[target] = append(journal.disturbances[target], disturbance{from: from, to: to, slowed: slowed})
+	journal.disturbances[target] = append(journal.disturbances[target], period)
 }
 
 func (journal *journal) addVersion(version uint64) {
@@ -118,9 +182,18 @@
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
 	if journal.stops == nil {
-		journal.stops = make(map[string][]time.Time)
+		journal.stops = make(map[string][]stop)
+	}
+	journal.stops[gateway] = append(journal.stops[gateway], stop{at: time.Now(), processNumber: journal.processNumbers[gateway]})
+}
+
+func (journal *journal) addReload(gateway string) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if journal.reloads == nil {
+		journal.reloads = make(map[string][]time.Time)
 	}
-	journal.stops[gateway] = append(journal.stops[gateway], time.Now())
+	journal.reloads[gateway] = append(journal.reloads[gateway], time.Now())
 }
 
 func (journal *journal) setProcessNumber(gateway string, processNumber int) {
