--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -289,8 +289,9 @@
 // request was discarded. The connection stays open for a while after such an answer.
 func TestRequestBehindStreamedAnswer(t *testing.T) {
 	for _, during := range []bool{true, false} {
-		fixture := newFixture(t, testLimits)
+		fixture := newFixtureWith(t, testLimits, func(acceptor *Acceptor) { acceptor.SetStopper(begunStop(time.Minute)) })
 		body, rest := io.Pipe()
+		t.Cleanup(func() { _ = rest.Close() })
 		fixture.send(t, get("/1"))
 		fixture.awaitStart(t, "/1")
 		fixture.stop()
