acceptor: a refusal does not drop the requests that have arrived behind it

Causes: a request refused before its body was read left the start of the next one unknown, so that the connection had to close; a body over 64 KiB is never read to its end by a refusal; and what had arrived behind a request counted only once it was being read.

Now a refused request reads the rest of its body if that comes within 20 ms, up to 256 KiB; a request that waits behind others is not refused before its body; and no close is announced while bytes wait behind the request, or may after a body that was streamed.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -100,7 +100,7 @@
 	newest *exchange
 	// answered is when the last response ended; zero before the first one.
 	answered time.Time
-	// begun is true while a request is read that has not been accepted.
+	// begun is true while a request is read, or has arrived, that has not been accepted.
 	begun bool
 	// reading is the request whose body is being read before it is accepted; nil if
 	// there is none.
@@ -255,7 +255,8 @@
 	if connection.closing || connection.ctx.Err() != nil {
 		return false
 	}
-	connection.newest, connection.begun = exchange, false
+	exchange.streamed = !exchange.body.complete.Load()
+	connection.newest, connection.begun = exchange, !exchange.streamed && connection.reader.Buffered() > 0
 	connection.pipelined++
 	connection.pipelinedBytes += exchange.size
 	exchange.previous, exchange.barrier = connection.latest, connection.barrier
@@ -294,13 +295,13 @@
 
 // closesAfter decides whether the connection closes after the response of exchange,
 // whose header is about to be written. It does if it must, and after the newest
-// request if no more are accepted and none is being read. A response whose body takes
-// time announces nothing: requests that come meanwhile could not be answered.
-func (connection *connection) closesAfter(exchange *exchange, must, takesTime bool) bool {
+// request if no more are accepted and none is being read. It does not if others may have
+// arrived or will until the end of the response: they could not be answered.
+func (connection *connection) closesAfter(exchange *exchange, must, others bool) bool {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	stopping := connection.stopping || connection.acceptor.isStopping()
-	last := connection.phase == phaseEnd || stopping && !connection.begun && !takesTime
+	last := connection.phase == phaseEnd || stopping && !connection.begun && !others
 	if must || last && connection.newest == exchange {
 		connection.closing = true
 	}
@@ -313,15 +314,10 @@
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	connection.stopping = true
-	switch {
-	case connection.phase == phaseIdle:
+	if connection.phase == phaseIdle {
 		connection.updateDeadline()
-	case connection.reading != nil:
-		if err := connection.acceptor.dispatcher.Check(connection.reading.head); err != nil {
-			connection.reading.refusal = err
-			_ = connection.conn.SetReadDeadline(time.Unix(1, 0))
-		}
 	}
+	connection.checkReading()
 }
 
 // giveUp gives up all requests: their responses are refusals, unless they have begun.
@@ -334,11 +330,36 @@
 	}
 }
 
-// startReading makes exchange the request whose body is being read; nil for none.
+// startReading makes exchange the request whose body is being read, unless it will not be
+// sent.
 func (connection *connection) startReading(exchange *exchange) {
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	connection.reading = exchange
+	connection.checkReading()
+}
+
+// checkReading refuses the request whose body is being read if it will not be sent. Of
+// the body, only what arrives in lastReadTime is read then: if that is all of it, the next
+// request can be found. The refusal of a request that waits behind others does not come
+// sooner without its body. The caller holds mu.
+func (connection *connection) checkReading() {
+	exchange := connection.reading
+	if exchange == nil || exchange.refusal != nil || connection.pipelined > 0 {
+		return
+	}
+	if exchange.refusal = connection.acceptor.dispatcher.Check(exchange.head); exchange.refusal != nil {
+		_ = connection.conn.SetReadDeadline(time.Now().Add(lastReadTime))
+	}
+}
+
+// endReading ends reading of a body, and returns why it was refused meanwhile.
+func (connection *connection) endReading() error {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	refusal := connection.reading.refusal
+	connection.reading = nil
+	return refusal
 }
 
 // updateLimits takes over the limits in force.
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -29,8 +29,8 @@
 	// head is the request before its body was read. It does not change while the
 	// connection reads the body.
 	head *dispatcher.Request
-	// refusal is why reading the body was ended; nil if it was not. The connection's mu
-	// guards it.
+	// refusal is why the request will not be sent, if that was known before its body was
+	// read. The connection's mu guards it until the request is accepted.
 	refusal error
 	// repeatable is true if the request may run beside others of its connection. One
 	// that is not runs after those before it and before those behind it.
@@ -50,6 +50,9 @@
 	size int
 	// reserved is the number of bytes that the request has reserved for its body.
 	reserved int64
+	// streamed is true if the body had not been read completely when the request was
+	// accepted: whether another request has arrived behind it is not known.
+	streamed bool
 	// stage is how far the request has come. The connection's task changes it until the
 	// request is accepted, the request's task after that.
 	stage stage
@@ -142,10 +145,11 @@
 	if !exchange.body.complete.Load() {
 		exchange.head = exchange.decoded
 		exchange.connection.startReading(exchange)
-		defer exchange.connection.startReading(nil)
-		if exchange.decodeErr = acceptor.dispatcher.Check(exchange.head); exchange.decodeErr != nil {
-			return
-		}
+		defer func() {
+			if refusal := exchange.connection.endReading(); refusal != nil {
+				exchange.decodeErr = refusal
+			}
+		}()
 	}
 	if exchange.body.expected {
 		exchange.size += dispatcher.BufferedBodyBytes
@@ -207,13 +211,8 @@
 
 // bodyError returns the refusal of a request whose body can't be read because of err.
 func (exchange *exchange) bodyError(err error) error {
-	connection := exchange.connection
-	connection.mu.Lock()
-	defer connection.mu.Unlock()
 	switch {
-	case exchange.refusal != nil:
-		return exchange.refusal
-	case context.Cause(connection.requests) == errStopTimeout:
+	case context.Cause(exchange.connection.requests) == errStopTimeout:
 		return stopOver(refuser.NotRun).WithCause(err)
 	case isTimeout(err):
 		return refuser.New(refuser.KindBodyTimeout, refuser.NotRun, "the body did not arrive in time").WithCause(err)
@@ -321,6 +320,9 @@
 	expected bool
 	// bytes is the number of bytes read.
 	bytes int64
+	// limit is the time after which no read waits, in nanoseconds of the Unix time; 0 for
+	// no limit.
+	limit atomic.Int64
 	// tooLarge is true once the body has exceeded the limit on its size.
 	tooLarge atomic.Bool
 	// ended is closed at the end of the body, or when it will not be read any more.
@@ -359,7 +361,11 @@
 		return 0, io.ErrUnexpectedEOF
 	}
 	limits := requestBody.exchange.limits
-	connection.allowBody(time.Now().Add(limits.bodyTimeout))
+	deadline := time.Now().Add(limits.bodyTimeout)
+	if limit := requestBody.limit.Load(); limit > 0 {
+		deadline = time.Unix(0, limit)
+	}
+	connection.allowBody(deadline)
 	if requestBody.closed.Load() {
 		return 0, http.ErrBodyReadAfterClose // The interrupt may have come before allowBody.
 	}
@@ -378,6 +384,22 @@
 	return count, err
 }
 
+// maxDiscardBytes is how much of the body of a refused request is read so that its
+// connection can be used further.
+const maxDiscardBytes = 256 << 10
+
+// discard reads and discards the rest of the body if it has arrived or does so in
+// lastReadTime, so that the next request of the connection can be found.
+func (requestBody *requestBody) discard() {
+	if requestBody.complete.Load() || requestBody.awaited() {
+		return
+	}
+	limit := time.Now().Add(lastReadTime)
+	requestBody.limit.Store(limit.UnixNano())
+	requestBody.exchange.connection.allowBody(limit)
+	_, _ = io.CopyN(io.Discard, requestBody, maxDiscardBytes) // What is left ends the connection.
+}
+
 // invite tells the caller to send the body.
 func (requestBody *requestBody) invite() bool {
 	requestBody.expected = false
--- a/internal/acceptor/response.go
+++ b/internal/acceptor/response.go
@@ -118,7 +118,7 @@
 	response.chunked = unframed && request.ProtoAtLeast(1, 1)
 	must := request.Close || !request.ProtoAtLeast(1, 1) || header.Get("Connection") == "close" || !exchange.body.complete.Load()
 	ready := response.ready || response.bodyless || response.length >= 0 && response.written >= response.length
-	response.closes = exchange.connection.closesAfter(exchange, must, !ready)
+	response.closes = exchange.connection.closesAfter(exchange, must, !ready || exchange.streamed)
 	for _, name := range []string{"Connection", "Transfer-Encoding"} {
 		header.Del(name)
 	}
--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -34,6 +34,9 @@
 func (acceptor *Acceptor) serve(c echo.Context) error {
 	exchange := exchangeOf(c.Request())
 	err := exchange.givenUp(acceptor.forward(c, exchange))
+	if err != nil {
+		exchange.body.discard()
+	}
 	if err != nil && !exchange.body.complete.Load() {
 		c.Response().Header().Set("Connection", "close")
 	}
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/chivespool/chivespool/internal/dispatcher"
 	"github.com/chivespool/chivespool/internal/refuser"
 )
 
@@ -318,3 +319,30 @@
 		fixture.expect(t, http.MethodPost, http.StatusOK, "/2", true)
 	}
 }
+
+// TestRequestBehindRefusedUpload checks that a request behind one that is refused is
+// answered if the body before it has arrived, or arrives before the refusal has its turn.
+// The refusal announced that the connection closes, and the request was discarded.
+func TestRequestBehindRefusedUpload(t *testing.T) {
+	leaving := refuser.New(refuser.KindLeaving, refuser.NotRun, "the host leaves")
+	long := strings.Repeat("x", dispatcher.BufferedBodyBytes+1000)
+	for _, body := range []string{"pay", long} {
+		fixture := newFixtureWith(t, patientLimits, func(acceptor *Acceptor) { acceptor.SetStopper(begunStop(time.Minute)) })
+		fixture.refuse(leaving)
+		fixture.send(t, post("/1", body), post("/2", "pay"))
+		fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), false)
+		fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), true)
+
+		fixture.refuse(nil)
+		fixture.connect(t)
+		fixture.send(t, get("/3"), post("/4", body)[:len(post("/4", body))-1])
+		fixture.awaitStart(t, "/3")
+		fixture.refuse(leaving)
+		time.Sleep(2 * lastReadTime)
+		fixture.send(t, "y", post("/5", "pay"))
+		fixture.answer("/3")
+		fixture.expect(t, http.MethodGet, http.StatusOK, "/3", false)
+		fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), false)
+		fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), true)
+	}
+}
--- a/internal/launcher/stop_caller_test.go
+++ b/internal/launcher/stop_caller_test.go
@@ -337,6 +337,9 @@
 	classLate class = "failed in the last sixth"
 	// classBehind was sent, at least in part, after an answer that announces the close.
 	classBehind class = "behind an announced close"
+	// classBehindCut is behind an answer that broke off, which is judged by itself: no
+	// answer can follow it.
+	classBehindCut class = "behind a cut answer"
 	// classMet was sent after the connection had ended.
 	classMet class = "met a closed connection"
 	// classCrossed was sent whole just before the connection ended, and didn't run.
@@ -432,6 +435,8 @@
 		return classReset
 	case caller.announced(request):
 		return classBehind
+	case caller.behindCut(request):
+		return classBehindCut
 	case !request.last.IsZero() && caller.openAt.After(request.last.Add(lossSlack)):
 		return classDropped
 	case request.last.IsZero() && caller.openAt.After(request.first.Add(lossSlack)):
@@ -466,6 +471,19 @@
 	return false
 }
 
+// behindCut reports whether the answer to a request before broke off.
+func (caller *caller) behindCut(request *callerRequest) bool {
+	for _, earlier := range caller.requests {
+		if earlier == request {
+			break
+		}
+		if earlier.status == http.StatusOK && earlier.readErr != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // describe returns what happened to a request. Times are from the stop.
 func (caller *caller) describe(request *callerRequest) string {
 	since := func(at time.Time) string {
