--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -391,12 +391,16 @@
 // discard reads and discards the rest of the body if it has arrived or does so in
 // lastReadTime, so that the next request of the connection can be found.
 func (requestBody *requestBody) discard() {
-	if requestBody.complete.Load() || requestBody.awaited() {
+	if requestBody.complete.Load() {
 		return
 	}
+	// An upload that is given up may still read; the limit ends its read, too.
 	limit := time.Now().Add(lastReadTime)
 	requestBody.limit.Store(limit.UnixNano())
 	requestBody.exchange.connection.allowBody(limit)
+	if requestBody.awaited() {
+		return
+	}
 	_, _ = io.CopyN(io.Discard, requestBody, maxDiscardBytes) // What is left ends the connection.
 }
 
