acceptor: the body of a connection's last request is read by the request alone

Seen by callers: a request with Connection: close, or of HTTP/1.0, whose body is over 64 KiB or awaits 100 Continue gets no answer until its deadline, at any time.

Cause: after such a request the connection went on at once to discard what the caller sends, beside the request's task, which reads the rest of the body from the same buffer. Each took a part; a body in chunks may so have been passed on changed.

Now the connection waits for the end of the body first, as it does between two requests.

TestLongBodyOfLastRequest failed before in all of its three cases (no answer within 3 s, and data races with -race), on and on.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -180,7 +180,7 @@
 		if !accepted {
 			exchange.logCut()
 		}
-		if !accepted || request.Close || !request.ProtoAtLeast(1, 1) {
+		if !accepted {
 			return
 		}
 		select {
@@ -190,6 +190,9 @@
 		if !exchange.body.complete.Load() {
 			return // The start of the next request is unknown.
 		}
+		if request.Close || !request.ProtoAtLeast(1, 1) {
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/acceptor/last_request_test.go
@@ -0,0 +1,56 @@
+package acceptor
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/dispatcher"
+)
+
+// readingDispatcher reads the body of each request before it answers with its length.
+type readingDispatcher struct{ *heldDispatcher }
+
+// Dispatch answers with the number of bytes of the body.
+func (readingDispatcher *readingDispatcher) Dispatch(_ context.Context, request *dispatcher.Request) (*dispatcher.Answer, error) {
+	count, err := int64(0), error(nil)
+	if body := request.Body(); body != nil {
+		count, err = io.Copy(io.Discard, body)
+	}
+	text := fmt.Sprintf("%d bytes, error %v", count, err)
+	return newAnswer(int64(len(text)), strings.NewReader(text)), nil
+}
+
+// TestLongBodyOfLastRequest sends a body that is passed on while it is read, or only once
+// the caller has been told to send it, in the last request of its connection. The
+// connection read and discarded parts of it.
+func TestLongBodyOfLastRequest(t *testing.T) {
+	const part, parts = 10_000, 20
+	for name, head := range map[string]string{
+		"Connection: close": "POST /s/ledger/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n",
+		"HTTP/1.0":          "POST /s/ledger/1 HTTP/1.0\r\nHost: a\r\n",
+		"Expect":            "POST /s/ledger/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nExpect: 100-continue\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newFixtureWith(t, patientLimits, func(acceptor *Acceptor) {
+				acceptor.dispatcher = &readingDispatcher{heldDispatcher: newHeldDispatcher()}
+			})
+			_ = fixture.conn.SetDeadline(time.Now().Add(3 * time.Second))
+			fixture.send(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, part*parts))
+			if name == "Expect" {
+				if response, err := http.ReadResponse(fixture.reader, nil); err != nil || response.StatusCode != http.StatusContinue {
+					t.Fatal(response, err)
+				}
+			}
+			for range parts {
+				fixture.send(t, strings.Repeat("x", part))
+				time.Sleep(5 * time.Millisecond)
+			}
+			fixture.expect(t, http.MethodPost, http.StatusOK, fmt.Sprintf("%d bytes, error <nil>", part*parts), true)
+		})
+	}
+}
