acceptor: the wait for a caller does not cut the last request

Seen by callers: the last request of a connection, one with Connection: close or one before a malformed request, ends without an answer if its endpoint works for longer than 5 s and its caller sends something after that.

Cause: the limit on the wait for a caller that goes on sending after a refusal counted from the last request and not from the last response, and its end cancels the requests that are left.

TestBytesBehindLastRequest failed before in both cases (cut after 5.2 s).

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -445,13 +445,21 @@
 		return
 	}
 	var buffer [512]byte
-	for start := time.Now(); time.Since(start) < maxLingerTime; connection.enter(phaseEnd) {
+	for ; connection.lingers(); connection.enter(phaseEnd) {
 		if _, err := connection.reader.Read(buffer[:]); err != nil {
 			return
 		}
 	}
 }
 
+// lingers reports whether the connection still waits for its last response or, for
+// maxLingerTime after that, for the caller.
+func (connection *connection) lingers() bool {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	return connection.pipelined > 0 || time.Since(connection.answered) < maxLingerTime
+}
+
 // closeWrite announces the end of the responses.
 func closeWrite(conn net.Conn) {
 	if half, ok := conn.(interface{ CloseWrite() error }); ok {
--- a/internal/acceptor/last_request_test.go
+++ b/internal/acceptor/last_request_test.go
@@ -54,3 +54,27 @@
 		})
 	}
 }
+
+// TestBytesBehindLastRequest has an endpoint work for longer than maxLingerTime on the last
+// request of a connection, while its caller sends more. The limit on the wait for the
+// caller cut the request.
+func TestBytesBehindLastRequest(t *testing.T) {
+	for name, texts := range map[string][]string{
+		"Connection: close": {"GET /s/ledger/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"},
+		"malformed request": {get("/1"), "GET /2 HTTP/1.1\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newFixture(t, patientLimits)
+			fixture.send(t, texts...)
+			fixture.awaitStart(t, "/1")
+			for start := time.Now(); time.Since(start) < maxLingerTime+500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+				if _, err := io.WriteString(fixture.conn, "x"); err != nil {
+					t.Fatalf("cut after %v: %v", time.Since(start), err)
+				}
+			}
+			fixture.answer("/1")
+			fixture.expect(t, http.MethodGet, http.StatusOK, "/1", len(texts) == 1)
+		})
+	}
+}
