acceptor: the rest of a refused body may take 100 ms

A gateway that is stopped before its usher runs gives requests up after the bound of the stop in place of a minute (from reading).

--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -384,18 +384,21 @@
 	return count, err
 }
 
-// maxDiscardBytes is how much of the body of a refused request is read so that its
-// connection can be used further.
-const maxDiscardBytes = 256 << 10
+// Limits of reading the body of a refused request, so that its connection can be used
+// further.
+const (
+	maxDiscardTime  = 100 * time.Millisecond
+	maxDiscardBytes = 256 << 10
+)
 
 // discard reads and discards the rest of the body if it has arrived or does so in
-// lastReadTime, so that the next request of the connection can be found.
+// maxDiscardTime, so that the next request of the connection can be found.
 func (requestBody *requestBody) discard() {
 	if requestBody.complete.Load() {
 		return
 	}
 	// An upload that is given up may still read; the limit ends its read, too.
-	limit := time.Now().Add(lastReadTime)
+	limit := time.Now().Add(maxDiscardTime)
 	requestBody.limit.Store(limit.UnixNano())
 	requestBody.exchange.connection.allowBody(limit)
 	if requestBody.awaited() {
--- a/internal/acceptor/last_request_test.go
+++ b/internal/acceptor/last_request_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/refuser"
 )
 
 // readingDispatcher reads the body of each request before it answers with its length.
@@ -78,3 +79,27 @@
 		})
 	}
 }
+
+// TestRequestBehindRefusedBody sends a request behind one that is refused although its body
+// is at hand. The refused one's connection closed, and the request behind it, which had
+// arrived before, was read and discarded.
+func TestRequestBehindRefusedBody(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		for _, size := range []int{3, 200_000} {
+			fixture := newFixtureWith(t, patientLimits, func(acceptor *Acceptor) {
+				if stopping {
+					acceptor.SetStopper(begunStop(time.Minute))
+				}
+			})
+			fixture.send(t, get("/1"))
+			fixture.awaitStart(t, "/1")
+			fixture.refuse(refuser.New(refuser.KindLeaving, refuser.NotRun, "the host leaves"))
+			fixture.send(t, post("/2", strings.Repeat("x", size)), get("/3"))
+			time.Sleep(50 * time.Millisecond)
+			fixture.answer("/1")
+			fixture.expect(t, http.MethodGet, http.StatusOK, "/1", false)
+			fixture.expect(t, http.MethodPost, http.StatusServiceUnavailable, string(refuser.KindLeaving), false)
+			fixture.expect(t, http.MethodGet, http.StatusServiceUnavailable, string(refuser.KindLeaving), stopping)
+		}
+	}
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -238,6 +238,7 @@
 	acceptor.SetClock(&gateway.clock)
 	acceptor.SetLimiter(&callerLimiter{gateway: gateway, base: limits})
 	acceptor.SetProtocol(protocol)
+	acceptor.SetStopTimeout(settings.LeaveTimeout()) // For a stop during the start.
 	acceptor.SetStopper(gateway.stopper)
 	return acceptor
 }
