--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -2,19 +2,15 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
 
@@ -208,38 +204,6 @@
 	connection.unread = !connection.closing
 }
 
-// readArrived reads what has arrived by now although the read deadline has passed, and
-// reports whether there is something. On a busy processor the deadline may pass before a
-// read finds the bytes that wait for it.
-func (connection *connection) readArrived() bool {
-	conn, ok := connection.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil || !connection.clearDeadline() {
-		return false
-	}
-	var buffer [readerBytes]byte
-	count := 0
-	err = raw.Read(func(fd uintptr) bool {
-		count, _ = unix.Read(int(fd), buffer[:]) // A later read reports the error again.
-		return true
-	})
-	if err != nil || count <= 0 {
-		return false
-	}
-	connection.reader.Reset(io.MultiReader(bytes.NewReader(buffer[:count]), connection.conn))
-	return true
-}
-
-// clearDeadline removes the read deadline. It returns false if the connection has ended.
-func (connection *connection) clearDeadline() bool {
-	connection.mu.Lock()
-	defer connection.mu.Unlock()
-	return connection.ctx.Err() == nil && connection.conn.SetReadDeadline(time.Time{}) == nil
-}
-
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // accept starts the task of a request once there is room for it. It returns false
--- a/internal/acceptor/stop.go
+++ b/internal/acceptor/stop.go
@@ -1,6 +1,13 @@
 package acceptor
 
-import "time"
+import (
+	"bytes"
+	"io"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // stop makes the newest request the last one, ends an idle connection, and refuses a
 // request whose body is being read if it can't be sent any more.
@@ -80,3 +87,35 @@
 	defer connection.mu.Unlock()
 	return connection.pipelined > 0 || time.Since(connection.answered) < maxLingerTime
 }
+
+// readArrived reads what has arrived by now although the read deadline has passed, and
+// reports whether there is something. On a busy processor the deadline may pass before a
+// read finds the bytes that wait for it.
+func (connection *connection) readArrived() bool {
+	conn, ok := connection.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil || !connection.clearDeadline() {
+		return false
+	}
+	var buffer [readerBytes]byte
+	count := 0
+	err = raw.Read(func(fd uintptr) bool {
+		count, _ = unix.Read(int(fd), buffer[:]) // A later read reports the error again.
+		return true
+	})
+	if err != nil || count <= 0 {
+		return false
+	}
+	connection.reader.Reset(io.MultiReader(bytes.NewReader(buffer[:count]), connection.conn))
+	return true
+}
+
+// clearDeadline removes the read deadline. It returns false if the connection has ended.
+func (connection *connection) clearDeadline() bool {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	return connection.ctx.Err() == nil && connection.conn.SetReadDeadline(time.Time{}) == nil
+}
