stopper: the time up to which a request may be given up has a name

The value and the decisions are unchanged (TestSchedule, TestLatestStart and TestStopBeforeDeadline pass).

--- a/internal/stopper/stopper.go
+++ b/internal/stopper/stopper.go
@@ -21,12 +21,14 @@
 	// callers cache the list of hosts for up to three times its hold time.
 	acceptShare   = 0.48
 	maxAcceptTime = 2900 * time.Millisecond
-	// startShare is the share in which a request is passed on whatever its deadline. A
-	// request that is sent up to maxStartTime and maxDelay after the beginning may be
-	// given up at the end; the process may notice its stop late by maxDelay.
+	// lastGivenUpTime is the time from the signal up to which a request may be sent that
+	// is given up at the end, by the platform's rule of lost requests.
+	lastGivenUpTime = 3 * time.Second
+	// maxDelay is how late the process may notice the signal.
+	maxDelay = 350 * time.Millisecond
+	// startShare is the share in which a request is passed on whatever its deadline.
 	startShare   = 0.43
-	maxStartTime = 3*time.Second - maxDelay
-	maxDelay     = 350 * time.Millisecond
+	maxStartTime = lastGivenUpTime - maxDelay
 	// endShare is the share by whose end the last request has ended; the rest is for
 	// the process to exit.
 	endShare = 0.94
