definer, platform, dispatcher: client accounts, API keys, regions, evacuations and cold endpoints

Cause: nothing read the accounts, keys, regions and evacuations of the configuration; keys reached endpoints and requests left their regions.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -82,12 +82,13 @@
 // Acquire chooses an endpoint for request and returns a slot there. Its error is
 // a *refuser.Refusal.
 func (assigner *Assigner) Acquire(ctx context.Context, request router.Request) (dispatcher.Slot, error) {
-	endpoints := assigner.directory.Endpoints(request.Pool())
-	if len(endpoints) == 0 {
-		return nil, refuse(refuser.KindNoEndpoint, "no endpoint of "+request.Pool()+" is known")
-	}
 	start := time.Now()
 	for round := 0; ; round++ {
+		// Endpoints may leave, and data centres may be evacuated, while the request waits.
+		endpoints := inRegions(assigner.directory.Endpoints(request.Pool()), request.Regions())
+		if len(endpoints) == 0 {
+			return nil, refuse(refuser.KindNoEndpoint, "no endpoint of "+request.Pool()+" is known that may get the request")
+		}
 		placerRequest := placer.NewRequest(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid()).
 			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority())
 		choice, candidates := assigner.choose(ctx, endpoints, placerRequest)
@@ -121,6 +122,16 @@
 	}
 }
 
+// inRegions returns the endpoints in regions; all if regions is empty.
+func inRegions(endpoints []definer.Endpoint, regions []string) []definer.Endpoint {
+	if len(regions) == 0 {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), func(endpoint definer.Endpoint) bool {
+		return !slices.Contains(regions, endpoint.Place().Region())
+	})
+}
+
 // refuseUnserved returns the refusal of a request for which no endpoint was found:
 // none answers, or those that do take no more requests now.
 func (assigner *Assigner) refuseUnserved(request router.Request, endpoints []definer.Endpoint, answered []placer.Candidate) error {
--- a/internal/definer/report.go
+++ b/internal/definer/report.go
@@ -22,6 +22,10 @@
 	// retryAfter is the time for which the endpoint wants no requests from this host; 0
 	// for none.
 	retryAfter time.Duration
+	// warmupLeft is the time for which the endpoint stays cold; it applies if warmupKnown
+	// is true.
+	warmupLeft  time.Duration
+	warmupKnown bool
 }
 
 // NewReport returns a report. A zero slots or slowdown means unknown.
@@ -75,3 +79,15 @@
 	report.retryAfter = retryAfter
 	return report
 }
+
+// WarmupLeft returns the time for which the endpoint stays cold, and whether it stated
+// it.
+func (report Report) WarmupLeft() (left time.Duration, known bool) {
+	return report.warmupLeft, report.warmupKnown
+}
+
+// WithWarmupLeft returns a copy of the report of an endpoint that stays cold for a time.
+func (report Report) WithWarmupLeft(left time.Duration) Report {
+	report.warmupLeft, report.warmupKnown = left, true
+	return report
+}
--- a/internal/definer/route.go
+++ b/internal/definer/route.go
@@ -25,6 +25,10 @@
 	target time.Duration
 	// rank orders requests by urgency; 0 is the most urgent.
 	rank int
+	// public is true where requests need no API key.
+	public bool
+	// regions are those whose endpoints may get the requests; empty for all.
+	regions []string
 }
 
 // RouteOption sets one property of a new route.
@@ -50,6 +54,14 @@
 // RouteRank sets the urgency; 0 is the most urgent.
 func RouteRank(rank int) RouteOption { return func(route *Route) { route.rank = rank } }
 
+// RoutePublic sets whether requests need no API key.
+func RoutePublic(public bool) RouteOption { return func(route *Route) { route.public = public } }
+
+// RouteRegions sets the regions whose endpoints may get the requests; none means all.
+func RouteRegions(regions []string) RouteOption {
+	return func(route *Route) { route.regions = regions }
+}
+
 // NewRoute returns a route. Without options its requests are not repeatable,
 // have one attempt, and have no time limit.
 func NewRoute(name, prefix string, destinations []Destination, options ...RouteOption) Route {
@@ -82,6 +94,13 @@
 // Rank returns the urgency; 0 is the most urgent.
 func (route Route) Rank() int { return route.rank }
 
+// Public reports whether requests need no API key.
+func (route Route) Public() bool { return route.public }
+
+// Regions returns the regions whose endpoints may get the requests; empty for all.
+// Callers must not modify the slice.
+func (route Route) Regions() []string { return route.regions }
+
 // Destinations returns the services of the route; callers must not modify the
 // slice.
 func (route Route) Destinations() []Destination { return route.destinations }
@@ -169,10 +188,14 @@
 	// healthPaths holds the path of the health check of each service.
 	healthPaths map[string]string
 	limits      CallerLimits
+	accounts    accounts
+	// coldRates holds the requests per second that one cold endpoint of a service takes,
+	// as far as they are bounded.
+	coldRates map[string]float64
 }
 
-// NewRouteTable returns a table. The keys of routes are host names in lower
-// case.
+// NewRouteTable returns a table without accounts. The keys of routes are host names in
+// lower case.
 func NewRouteTable(version uint64, routes map[string][]Route, healthPaths map[string]string, limits CallerLimits) *RouteTable {
 	table := &RouteTable{version: version, routes: make(map[string][]Route, len(routes)), healthPaths: healthPaths, limits: limits}
 	for host, list := range routes {
@@ -183,6 +206,18 @@
 	return table
 }
 
+// With returns a copy with options. It fails if they contradict each other.
+func (routeTable *RouteTable) With(options ...TableOption) (*RouteTable, error) {
+	clone := *routeTable
+	clone.accounts, clone.coldRates = accounts{}, nil
+	for _, option := range options {
+		if err := option(&clone); err != nil {
+			return nil, err
+		}
+	}
+	return &clone, nil
+}
+
 // Version returns the version, or 0 where no table was set.
 func (routeTable *RouteTable) Version() uint64 { return routeTable.version }
 
@@ -203,6 +238,16 @@
 	return Route{}, false
 }
 
+// HostRegions returns the regions that all routes of host that are limited to regions
+// have in common; empty if none is limited or they have none in common.
+func (routeTable *RouteTable) HostRegions(host string) []string {
+	var regions []string
+	for _, route := range routeTable.routes[strings.ToLower(host)] {
+		regions, _ = CommonRegions(regions, route.regions)
+	}
+	return regions
+}
+
 // HealthPath returns the path of the health check of service, or false where
 // the table has no such service.
 func (routeTable *RouteTable) HealthPath(service string) (string, bool) {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -91,6 +91,8 @@
 		router.WithTarget(call.plan.targetLatency),
 		router.WithID(call.id),
 		router.AsHedge(call.hedging),
+		router.ForAccount(call.plan.account),
+		router.InRegions(call.plan.regions),
 		router.Isolated(call.isolated),
 		router.Avoiding(call.tried...),
 	)
--- a/internal/dispatcher/plan.go
+++ b/internal/dispatcher/plan.go
@@ -43,8 +43,14 @@
 	// targetLatency is 0 for none.
 	targetLatency time.Duration
 	lane          definer.Lane
-	// priority is 0 (shed first) to 9 (shed last).
+	// priority is higher for requests that are shed later.
 	priority int
+	// account is the account that holds the request's key; nil if there is none.
+	account *definer.Account
+	// keysChecked is true if requests need API keys.
+	keysChecked bool
+	// regions are those whose endpoints may get the request; empty for all.
+	regions []string
 }
 
 // routeFreeAttempts is the freeAttempts of a routed request. An attempt did not run
@@ -57,10 +63,27 @@
 		service: service, pool: service, class: route.Name() + " " + service,
 		repeatable: route.Repeatable(), maxAttempts: route.Attempts(), freeAttempts: routeFreeAttempts,
 		timeout: route.Timeout(), targetLatency: route.Target(),
-		priority: max(0, definer.MaxPriority-route.Rank()),
+		priority: max(0, definer.MaxPriority-route.Rank()), regions: route.Regions(),
 	}
 }
 
+// forAccount returns a copy for a request of account, which is nil if the request has no
+// key. It fails if the account and the route allow no region in common.
+func (plan Plan) forAccount(account *definer.Account) (Plan, error) {
+	plan.keysChecked, plan.account = true, account
+	if account == nil {
+		return plan, nil
+	}
+	// The rank of the account goes before that of the route.
+	plan.priority += (definer.MaxPriority + 1) * max(0, definer.MaxPriority-account.Rank())
+	regions, ok := definer.CommonRegions(plan.regions, account.Regions())
+	if !ok {
+		return Plan{}, refuser.New(refuser.KindNoEndpoint, refuser.NotRun, "the route and the account allow no region in common")
+	}
+	plan.regions = regions
+	return plan, nil
+}
+
 // Service returns the service whose endpoints can answer.
 func (plan Plan) Service() string { return plan.service }
 
@@ -149,7 +172,34 @@
 	if limit := table.Limits().BodyBytes(); limit > 0 && request.length > limit {
 		return Plan{}, refuser.New(refuser.KindTooLarge, refuser.NotRun, fmt.Sprintf("the body is over %d bytes", limit))
 	}
-	return NewRoutePlan(route, route.Pick(routePlanner.nextCount(route.Name()))), nil
+	account, err := authenticate(table, current, route, request)
+	if err != nil {
+		return Plan{}, err
+	}
+	plan := NewRoutePlan(route, route.Pick(routePlanner.nextCount(route.Name())))
+	if !table.HasAccounts() {
+		return plan, nil
+	}
+	return plan.forAccount(account)
+}
+
+// authenticate returns the account that holds the request's key; nil if there is none and
+// the route needs none. A key that is unknown may be new if the table is not current.
+func authenticate(table *definer.RouteTable, current bool, route definer.Route, request *Request) (*definer.Account, error) {
+	if !table.HasAccounts() {
+		return nil, nil
+	}
+	account, ok := table.Account(request.apiKey)
+	switch {
+	case ok:
+		return account, nil
+	case route.Public():
+		return nil, nil
+	case !current && request.apiKey != "":
+		return nil, refuser.New(refuser.KindNoConfiguration, refuser.NotRun, "the API keys known here may be old").
+			WithRetryAfter(staleRetryAfter)
+	}
+	return nil, refuser.New(refuser.KindUnknownKey, refuser.NotRun, "the request has no valid API key")
 }
 
 // Repeatable reports whether the request's route allows it to run more than once.
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // BufferedBodyBytes is how much of a request's body is buffered before the request
@@ -38,6 +40,12 @@
 	length int64
 	// key is the caller's Idempotency-Key, or empty.
 	key string
+	// apiKey is the caller's API key, or empty. It must not be logged.
+	apiKey string
+	// account is the account that holds apiKey; nil if there is none.
+	account *definer.Account
+	// keysChecked is true if requests need API keys, so that account is the caller's.
+	keysChecked bool
 	// timeout is the limit set by the caller, or 0.
 	timeout time.Duration
 	// arrived is when the request arrived; zero if that is when it is dispatched.
@@ -116,10 +124,18 @@
 	return &clone
 }
 
-// withPlan returns a copy with the service and the repeatability of plan.
+// WithAPIKey returns a copy with the caller's API key.
+func (request *Request) WithAPIKey(key string) *Request {
+	clone := *request
+	clone.apiKey = key
+	return &clone
+}
+
+// withPlan returns a copy with the service, the account and the repeatability of plan.
 func (request *Request) withPlan(plan Plan) *Request {
 	clone := *request
 	clone.service = plan.service
+	clone.account, clone.keysChecked = plan.account, plan.keysChecked
 	clone.atMostOnce = !plan.repeatable
 	return &clone
 }
@@ -133,6 +149,13 @@
 // Authority returns the host name that the caller addressed, or empty.
 func (request *Request) Authority() string { return request.authority }
 
+// Account returns the account that holds the request's API key; nil if there is none.
+func (request *Request) Account() *definer.Account { return request.account }
+
+// KeysChecked reports whether requests need API keys. If so, endpoints learn the account
+// and not the key.
+func (request *Request) KeysChecked() bool { return request.keysChecked }
+
 // Timeout returns the limit set by the caller, or 0.
 func (request *Request) Timeout() time.Duration { return request.timeout }
 
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -24,6 +24,12 @@
 	return gateway.tracker.View().Endpoints(service)
 }
 
+// ColdRate returns the number of requests per second that one cold endpoint of service
+// takes from all hosts together, or 0 for any number.
+func (gateway *Gateway) ColdRate(service string) float64 {
+	return gateway.tracker.View().Table().ColdRate(service)
+}
+
 // Freshness returns the age and the revision of the host's local view.
 func (gateway *Gateway) Freshness() (age time.Duration, revision uint64) {
 	return gateway.tracker.Age(gateway.clock.Now()), gateway.tracker.View().Revision()
@@ -91,10 +97,10 @@
 	gateway *Gateway
 }
 
-// Near returns the entry hosts for callers at place, and the time for which
-// callers may cache them. A leaving host lists itself only where it knows no
-// other.
-func (directory *directory) Near(place definer.Place) ([]definer.Host, time.Duration) {
+// Near returns the entry hosts for callers at place that address the host called name,
+// and the time for which callers may cache them. A leaving host lists itself only where
+// it knows no other.
+func (directory *directory) Near(name string, place definer.Place) ([]definer.Host, time.Duration) {
 	gateway := directory.gateway
 	var hosts []definer.Host
 	for _, host := range gateway.tracker.View().Hosts() {
@@ -105,7 +111,7 @@
 	if !gateway.stopper.Stopping() || len(hosts) == 0 {
 		hosts = append(hosts, gateway.self)
 	}
-	return locator.Near(hosts, place), holdTime
+	return locator.Near(hosts, place, gateway.tracker.View().Table().HostRegions(name)), holdTime
 }
 
 // updatePeers sets the messenger's peers to the hosts of the view, if the view's
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -137,7 +137,8 @@
 		gateway.messenger.AllowUnencrypted()
 	}
 	gateway.messenger.SetSeeds(settings.PeerSeeds())
-	keys := tracker.NewKeys(platform.ConfigurationKey, platform.EndpointPrefix, hostPrefix)
+	keys := tracker.NewKeys(platform.ConfigurationKey, platform.EndpointPrefix, hostPrefix).
+		WithEvacuations(platform.EvacuationPrefix)
 	gateway.tracker = tracker.New(gateway.self, gateway.store, &peers{gateway: gateway},
 		platform.NewDecoder(settings.Regions()), keys, settings.ApplyBound(), gateway.log)
 	var seeds []string
@@ -165,6 +166,7 @@
 	gateway.sender.SetDialect(platform.Dialect{})
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
+	gateway.permitter.SetColdRates(gateway)
 	gateway.sender.SetObserver(gateway.permitter)
 	gateway.quarantiner = quarantiner.NewGroup(&suspectStore{gateway: gateway, latest: make(map[string]connector.Entry)},
 		suspectLimits(), suspectLists)
--- a/internal/locator/locate.go
+++ b/internal/locator/locate.go
@@ -93,12 +93,16 @@
 // a caller can fail over when one host dies.
 const minNearHosts = 2
 
-// Near returns the entry hosts for callers at place: the hosts of its data
-// centre, or those of its region if they are fewer than minNearHosts, or else all.
-func Near(hosts []definer.Host, place definer.Place) []definer.Host {
+// Near returns the entry hosts for callers at place: the hosts of its data centre, or
+// those of its region if they are fewer than minNearHosts, or those of regions, whose
+// endpoints alone may get the callers' requests, or else all.
+func Near(hosts []definer.Host, place definer.Place, regions []string) []definer.Host {
 	for _, matches := range []func(definer.Host) bool{
 		func(host definer.Host) bool { return host.Place() == place },
 		func(host definer.Host) bool { return host.Place().Region() == place.Region() },
+		func(host definer.Host) bool {
+			return host.Place().Region() == place.Region() || slices.Contains(regions, host.Place().Region())
+		},
 	} {
 		var near []definer.Host
 		for _, host := range hosts {
--- a/internal/permitter/permitter.go
+++ b/internal/permitter/permitter.go
@@ -10,6 +10,10 @@
 // fixed share each, and the others send it nothing. All hosts compute the same holders
 // from the same list of hosts.
 //
+// A cold endpoint takes few requests per second and crashes at a much higher rate, as when
+// a data centre comes back and its empty endpoints look idle to all hosts at once. While
+// an endpoint is cold, hosts share the rate of its service in the same way.
+//
 // The package does no I/O, starts no goroutines and reads no clock.
 package permitter
 
@@ -30,6 +34,11 @@
 	holderRate = 1.0
 	// burstTime is the time whose share a holder may save up.
 	burstTime = time.Second
+	// coldHolderRate and coldBurstTime replace holderRate and burstTime for cold endpoints,
+	// whose rate is bounded in each second: all holders together may save up 0.4 times the
+	// rate, or one request if that is more.
+	coldHolderRate = 2.5
+	coldBurstTime  = 400 * time.Millisecond
 	// hostMemory is the time for which a host counts after it was last listed. A
 	// registration may be missing while its host lives, and the others must not take
 	// over its shares until then.
@@ -45,11 +54,26 @@
 	Change(message string, details ...any)
 }
 
+// ColdRates provides the rates that cold endpoints take.
+type ColdRates interface {
+	// ColdRate returns the number of requests per second that one cold endpoint of service
+	// takes from all hosts together, or 0 for any number.
+	ColdRate(service string) float64
+}
+
+// unlimited is the default of ColdRates.
+type unlimited struct{}
+
+// ColdRate returns 0.
+func (unlimited) ColdRate(string) float64 { return 0 }
+
 // Permitter keeps the permits of one host. Make one with New. It is safe for
 // concurrent use.
 type Permitter struct {
 	self    definer.Host
 	journal Journal
+	// coldRates is set before the first use.
+	coldRates ColdRates
 	// mu guards the fields below.
 	mu sync.Mutex
 	// hosts are the hosts among which holders are chosen, each once.
@@ -62,9 +86,15 @@
 
 // New returns a permitter of the host self.
 func New(self definer.Host, journal Journal) *Permitter {
-	return &Permitter{self: self, journal: journal, listedAt: make(map[string]time.Time), records: make(map[string]*record)}
+	return &Permitter{
+		self: self, journal: journal, coldRates: unlimited{},
+		listedAt: make(map[string]time.Time), records: make(map[string]*record),
+	}
 }
 
+// SetColdRates sets the rates that cold endpoints take. Call it before the first use.
+func (permitter *Permitter) SetColdRates(coldRates ColdRates) { permitter.coldRates = coldRates }
+
 // record is what an endpoint stated about itself.
 type record struct {
 	endpoint definer.Endpoint
@@ -79,6 +109,10 @@
 	// so that naming it again gives no new permits.
 	limited bool
 	limit   limit
+	// coldUntil is the end of the time for which the endpoint is cold, and cold the limit
+	// until then.
+	coldUntil time.Time
+	cold      limit
 }
 
 // limit is a limit that an endpoint named, and this host's share of it.
@@ -90,10 +124,19 @@
 	// permits is the number of requests that may be sent at countedAt, at most burst.
 	permits   float64
 	countedAt time.Time
+	// holderRate is the share that is worth one more holder, and burstTime the time whose
+	// share may be saved up.
+	holderRate float64
+	burstTime  time.Duration
+}
+
+// newLimit returns a limit with one permit.
+func newLimit(now time.Time, holderRate float64, burstTime time.Duration) limit {
+	return limit{permits: 1, countedAt: now, holderRate: holderRate, burstTime: burstTime}
 }
 
 // burst returns the largest number of permits.
-func (limit *limit) burst() float64 { return max(1, limit.share*burstTime.Seconds()) }
+func (limit *limit) burst() float64 { return max(1, limit.share*limit.burstTime.Seconds()) }
 
 // refill adds the permits for the time since they were last counted.
 func (limit *limit) refill(now time.Time) {
@@ -102,17 +145,50 @@
 	limit.countedAt = now
 }
 
-// wait returns the time until a request may be sent; false if this host may send none.
-func (record *record) wait(now time.Time) (time.Duration, bool) {
-	limit := &record.limit
+// setRate changes the rate of a limit of endpoint; mu is held.
+func (permitter *Permitter) setRate(now time.Time, endpoint definer.Endpoint, limit *limit, rate float64) {
+	limit.refill(now)
+	limit.rate, limit.share = rate, permitter.share(endpoint, rate, limit.holderRate)
+}
+
+// wait returns the time until there is a permit; false if this host gets none.
+func (limit *limit) wait(now time.Time) (time.Duration, bool) {
 	limit.refill(now)
 	switch {
-	case record.leaving, record.limited && limit.share <= 0:
+	case limit.share <= 0:
+		return 0, false
+	case limit.permits >= 1:
+		return 0, true
+	}
+	return time.Duration(math.Ceil((1 - limit.permits) / limit.share * float64(time.Second))), true
+}
+
+// inForce returns the limits that are in force.
+func (record *record) inForce(now time.Time) []*limit {
+	var limits []*limit
+	if record.limited {
+		limits = append(limits, &record.limit)
+	}
+	if now.Before(record.coldUntil) && record.cold.rate > 0 {
+		limits = append(limits, &record.cold)
+	}
+	return limits
+}
+
+// wait returns the time until a request may be sent; false if this host may send none.
+func (record *record) wait(now time.Time) (time.Duration, bool) {
+	if record.leaving {
 		return 0, false
-	case !record.limited || limit.permits >= 1:
-		return record.blocked(now), true
 	}
-	return max(record.blocked(now), time.Duration(math.Ceil((1-limit.permits)/limit.share*float64(time.Second)))), true
+	longest := record.blocked(now)
+	for _, limit := range record.inForce(now) {
+		wait, ok := limit.wait(now)
+		if !ok {
+			return 0, false
+		}
+		longest = max(longest, wait)
+	}
+	return longest, true
 }
 
 // blocked returns the rest of the time for which the endpoint wants no requests.
@@ -146,14 +222,15 @@
 		return
 	}
 	for _, record := range permitter.records {
-		record.limit.refill(now)
-		record.limit.share = permitter.share(record.endpoint, record.limit.rate)
+		for _, limit := range []*limit{&record.limit, &record.cold} {
+			permitter.setRate(now, record.endpoint, limit, limit.rate)
+		}
 	}
 }
 
 // share returns the part of a limit of rate requests per second that this host may
 // use; mu is held.
-func (permitter *Permitter) share(endpoint definer.Endpoint, rate float64) float64 {
+func (permitter *Permitter) share(endpoint definer.Endpoint, rate, holderRate float64) float64 {
 	count := max(1, int(math.Ceil(min(rate/holderRate, float64(len(permitter.hosts))))))
 	holders := locator.Owners(permitter.hosts, endpoint.Place(), endpoint.Name(), count)
 	for _, holder := range holders {
@@ -174,11 +251,15 @@
 		delete(permitter.records, endpoint.Name())
 		ok = false
 	}
-	if !ok && !limited && !report.Leaving() && report.RetryAfter() == 0 {
+	warmupLeft, warmupKnown := report.WarmupLeft()
+	if !ok && !limited && !report.Leaving() && report.RetryAfter() == 0 && warmupLeft == 0 {
 		return
 	}
 	if !ok {
-		known = &record{endpoint: endpoint, limit: limit{permits: 1, countedAt: now}}
+		known = &record{
+			endpoint: endpoint, limit: newLimit(now, holderRate, burstTime),
+			cold: newLimit(now, coldHolderRate, coldBurstTime),
+		}
 		permitter.records[endpoint.Name()] = known
 	}
 	known.statedAt = now
@@ -191,9 +272,11 @@
 		permitter.journal.Change("endpoint wants no requests for a time", "name", endpoint.Name(), "service", endpoint.Pool(),
 			"retry-after", report.RetryAfter())
 	}
+	if warmupKnown {
+		permitter.recordWarmup(now, known, warmupLeft)
+	}
 	if limited && rate != known.limit.rate {
-		known.limit.refill(now)
-		known.limit.rate, known.limit.share = rate, permitter.share(endpoint, rate)
+		permitter.setRate(now, endpoint, &known.limit, rate)
 	}
 	if limited != known.limited {
 		known.limited = limited
@@ -202,6 +285,18 @@
 	}
 }
 
+// recordWarmup records that the endpoint of record stays cold for left; mu is held.
+func (permitter *Permitter) recordWarmup(now time.Time, record *record, left time.Duration) {
+	endpoint := record.endpoint
+	if wasCold := now.Before(record.coldUntil); left > 0 && !wasCold {
+		rate := permitter.coldRates.ColdRate(endpoint.Pool())
+		permitter.setRate(now, endpoint, &record.cold, rate)
+		permitter.journal.Change("endpoint is cold", "name", endpoint.Name(), "service", endpoint.Pool(),
+			"left", left, "rate", rate, "share", record.cold.share)
+	}
+	record.coldUntil = now.Add(left)
+}
+
 // Candidates returns the endpoints that are worth probing: those that a request may
 // be sent to, and those whose last answer is too old to tell.
 func (permitter *Permitter) Candidates(now time.Time, endpoints []definer.Endpoint) []definer.Endpoint {
@@ -254,8 +349,10 @@
 	if wait, ok := permitter.wait(now, endpoint); !ok || wait > 0 {
 		return false
 	}
-	if record, ok := permitter.records[endpoint.Name()]; ok && record.limited {
-		record.limit.permits--
+	if record, ok := permitter.records[endpoint.Name()]; ok {
+		for _, limit := range record.inForce(now) {
+			limit.permits--
+		}
 	}
 	return true
 }
--- a/internal/placer/forecast.go
+++ b/internal/placer/forecast.go
@@ -113,8 +113,12 @@
 	if report.Slots() == 0 {
 		running = placer.record(endpoint.Name()).running
 	}
+	warmupLeft, known := report.WarmupLeft()
+	if !known {
+		warmupLeft = endpoint.WarmupLeft()
+	}
 	forecast := Forecast{
-		pool: endpoint.Pool(), reported: report.Slowdown(), cold: endpoint.WarmupLeft() > 0,
+		pool: endpoint.Pool(), reported: report.Slowdown(), cold: warmupLeft > 0,
 		nearlyFull: slots > 1 && float64(running+1) > busyShare*float64(slots), normalRun: class.normalRun,
 	}
 	effects := placer.effects(forecast.pool)
--- a/internal/refuser/refuser.go
+++ b/internal/refuser/refuser.go
@@ -52,6 +52,8 @@
 	KindTooLarge         Kind = "too-large"
 	KindHeaderTooLarge   Kind = "header-too-large"
 	KindBodyTimeout      Kind = "body-timeout"
+	KindUnknownKey       Kind = "unknown-key"
+	KindOverQuota        Kind = "over-quota"
 )
 
 // Refusal is the error of a request that ends without an answer from a backend
@@ -131,6 +133,8 @@
 	KindLeaving:          "ask where to go again and send the request there",
 	KindNoRoute:          "check the host and the path, or ask an operator for a route",
 	KindBodyTimeout:      "send the request again, its body without long pauses",
+	KindUnknownKey:       "send the request with a valid API key, or ask an operator for one",
+	KindOverQuota:        "wait as Retry-After says, or ask an operator to raise the account's quota",
 	KindHeaderTooLarge:   "send fewer or shorter headers, or ask an operator to raise the limit",
 	KindTooLarge:         "send a smaller request, or ask an operator to raise the limit",
 	KindNoConfiguration:  "wait until the host has read the configuration, or ask another host",
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -28,6 +28,10 @@
 	isolated bool
 	// avoid names endpoints to use only if there is no other.
 	avoid []string
+	// account is the account of the caller; nil if there is none.
+	account *definer.Account
+	// regions are those whose endpoints may get the request; empty for all.
+	regions []string
 }
 
 // RequestOption sets one property of a new request.
@@ -39,7 +43,7 @@
 // WithClass groups the request with others of similar run time.
 func WithClass(class string) RequestOption { return func(request *Request) { request.class = class } }
 
-// WithPriority gives the request a priority from 0 (shed first) to 9.
+// WithPriority gives the request a priority; those with a higher one are shed later.
 func WithPriority(priority int) RequestOption {
 	return func(request *Request) { request.priority = priority }
 }
@@ -77,6 +81,16 @@
 	return func(request *Request) { request.avoid = endpoints }
 }
 
+// ForAccount sets the account of the caller; nil for none.
+func ForAccount(account *definer.Account) RequestOption {
+	return func(request *Request) { request.account = account }
+}
+
+// InRegions limits the request to the endpoints of regions; none means all.
+func InRegions(regions []string) RequestOption {
+	return func(request *Request) { request.regions = regions }
+}
+
 // NewRequest returns a request for pool, short and of the default priority
 // unless an option sets another.
 func NewRequest(pool string, options ...RequestOption) Request {
@@ -96,7 +110,7 @@
 // Lane returns the request's lane.
 func (request Request) Lane() definer.Lane { return request.lane }
 
-// Priority returns 0 (shed first) to 9 (shed last).
+// Priority returns the priority; requests with a higher one are shed later.
 func (request Request) Priority() int { return request.priority }
 
 // Deadline returns the deadline, or the zero time for none.
@@ -119,5 +133,11 @@
 // isolated one.
 func (request Request) Isolated() bool { return request.isolated }
 
+// Account returns the account of the caller, or nil.
+func (request Request) Account() *definer.Account { return request.account }
+
+// Regions returns the regions whose endpoints may get the request; empty for all.
+func (request Request) Regions() []string { return request.regions }
+
 // Avoid returns the endpoints to use only if there is no other.
 func (request Request) Avoid() []string { return request.avoid }
--- a/internal/tracker/builder.go
+++ b/internal/tracker/builder.go
@@ -21,6 +21,8 @@
 	tableRevision uint64
 	endpoints     map[string]decoded[definer.Endpoint]
 	hosts         map[string]decoded[definer.Host]
+	// evacuated holds the names of the data centres that operators have evacuated.
+	evacuated map[string]bool
 	// graceUntil holds the end of the grace period of lapsed endpoints, by name.
 	graceUntil map[string]time.Time
 	// leftAt holds the revisions of changes by which endpoints leave, by name, as far as
@@ -56,6 +58,7 @@
 	}
 	maps.DeleteFunc(builder.leftAt, func(_ string, revision uint64) bool { return revision <= replica.revision })
 	builder.decodeTable(replica)
+	builder.updateEvacuated(replica)
 	builder.removeMissing(now, replica, afterOutage)
 	for key, item := range replica.items {
 		if name, ok := strings.CutPrefix(key, builder.keys.endpoints); ok {
@@ -88,6 +91,30 @@
 	}
 }
 
+// updateEvacuated adopts the data centres that are evacuated in replica.
+func (builder *builder) updateEvacuated(replica *replica) {
+	prefix, evacuated := builder.keys.evacuations, make(map[string]bool)
+	if prefix == "" {
+		return
+	}
+	for key, item := range replica.items {
+		name, ok := strings.CutPrefix(key, prefix)
+		if !ok {
+			continue
+		}
+		evacuated[name] = true
+		if !builder.evacuated[name] {
+			builder.journal.Change("data centre is evacuated", "name", name, "revision", item.revision)
+		}
+	}
+	for name := range builder.evacuated {
+		if !evacuated[name] {
+			builder.journal.Change("evacuation has ended", "name", name, "revision", replica.revision)
+		}
+	}
+	builder.evacuated = evacuated
+}
+
 // removeMissing removes hosts and endpoints whose entries are no longer in
 // replica, except endpoints in their grace period.
 func (builder *builder) removeMissing(now time.Time, replica *replica, afterOutage bool) {
@@ -152,15 +179,19 @@
 }
 
 // view returns an immutable view of the decoded values, without endpoints that
-// drain or whose service the table does not have.
+// drain, are in an evacuated data centre, or whose service the table does not have.
 func (builder *builder) view(revision uint64) *View {
-	view := &View{table: builder.table, endpoints: make(map[string][]definer.Endpoint), revision: revision}
+	view := &View{
+		table: builder.table, endpoints: make(map[string][]definer.Endpoint),
+		evacuated: builder.evacuated, revision: revision,
+	}
 	for _, name := range slices.Sorted(maps.Keys(builder.endpoints)) {
 		endpoint := builder.endpoints[name]
 		service := endpoint.value.Pool()
 		path, known := builder.table.HealthPath(service)
 		_, left := builder.leftAt[name]
-		if endpoint.usable && !endpoint.value.Drained() && !left && known {
+		evacuated := builder.evacuated[endpoint.value.Place().DataCentre()]
+		if endpoint.usable && !endpoint.value.Drained() && !left && known && !evacuated {
 			view.endpoints[service] = append(view.endpoints[service], endpoint.value.WithHealthPath(path))
 		}
 	}
--- a/internal/tracker/view.go
+++ b/internal/tracker/view.go
@@ -9,8 +9,11 @@
 // View is a host's immutable local view of the routing, endpoints and hosts.
 type View struct {
 	table *definer.RouteTable
-	// endpoints holds the endpoints that accept new requests, by service.
+	// endpoints holds the endpoints that accept new requests, by service; those of
+	// evacuated data centres are left out.
 	endpoints map[string][]definer.Endpoint
+	// evacuated holds the names of the data centres whose endpoints get no requests.
+	evacuated map[string]bool
 	// hosts holds the registered entry hosts, ordered by name.
 	hosts []definer.Host
 	// revision is the store's revision that the view is of.
@@ -27,6 +30,9 @@
 // must not change the slice.
 func (view *View) Endpoints(service string) []definer.Endpoint { return view.endpoints[service] }
 
+// Evacuated reports whether the endpoints of a data centre get no requests.
+func (view *View) Evacuated(dataCentre string) bool { return view.evacuated[dataCentre] }
+
 // Names returns the names of all endpoints that accept new requests.
 func (view *View) Names() map[string]bool {
 	names := make(map[string]bool)
@@ -66,6 +72,15 @@
 	table     string
 	endpoints string
 	hosts     string
+	// evacuations is empty if operators can't evacuate data centres.
+	evacuations string
+}
+
+// WithEvacuations returns a copy with the prefix of the keys that name the data centres
+// whose endpoints get no requests.
+func (keys Keys) WithEvacuations(prefix string) Keys {
+	keys.evacuations = prefix
+	return keys
 }
 
 // NewKeys returns the names of the key of the route table, and of the key prefixes
