sender: an answer with an invalid status is not an answer

Cause: an endpoint in trouble may answer with a status such as 000. A status over 599 reached the caller as the endpoint's answer; one below 100 counted as an interim answer, so that the attempt lasted until its deadline.

--- a/internal/permitter/permitter_test.go
+++ b/internal/permitter/permitter_test.go
@@ -83,8 +83,11 @@
 const window = 4 * time.Second
 
 // worst returns the largest number of requests to an endpoint in a window.
-func (fleet *fleet) worst(name string) int {
-	sent, most, first := fleet.sent[name], 0, 0
+func (fleet *fleet) worst(name string) int { return mostIn(fleet.sent[name], window) }
+
+// mostIn returns the largest number of the times sent in a window.
+func mostIn(sent []time.Time, window time.Duration) int {
+	most, first := 0, 0
 	for last, at := range sent {
 		for at.Sub(sent[first]) >= window {
 			first++
@@ -227,3 +230,62 @@
 		t.Error("another process of an endpoint that has left is not used")
 	}
 }
+
+// coldRate is the rate of all services of a test.
+type coldRate float64
+
+func (coldRate coldRate) ColdRate(string) float64 { return float64(coldRate) }
+
+// TestColdEndpoints guards against a crowd at endpoints that come back cold and look idle
+// to all hosts: in any second, an endpoint gets at most one and a half times its rate, and
+// 8 more; on the whole it gets most of its rate. It turns cold again in between.
+func TestColdEndpoints(t *testing.T) {
+	const step, length = 20 * time.Millisecond, 12 * time.Second
+	for _, rate := range []float64{0.5, 4.6, 40, 200} {
+		for _, hosts := range []int{1, 17} {
+			t.Run(fmt.Sprint(rate, " a second, ", 6*hosts, " hosts"), func(t *testing.T) {
+				fleet := newFleet(6, hosts, 1)
+				for _, permitter := range fleet.permitters {
+					permitter.SetColdRates(coldRate(rate))
+				}
+				start, endpoints := fleet.now, endpoints(6, 6)
+				for tick := range int(length / step) {
+					fleet.now = start.Add(time.Duration(tick) * step)
+					if fleet.now.Sub(start)%(4*time.Second) == 0 {
+						fleet.list(fleet.hosts[:len(fleet.hosts)-1])
+					}
+					left := 3*time.Second - fleet.now.Sub(start)%(3*time.Second)
+					for _, endpoint := range endpoints {
+						fleet.send(endpoint, definer.NewReport(true, 0, 0, 6, 1).WithWarmupLeft(left))
+					}
+				}
+				for _, endpoint := range endpoints {
+					sent := fleet.sent[endpoint.Name()]
+					if worst, allowed := mostIn(sent, time.Second), int(1.5*rate)+8; worst > allowed {
+						t.Errorf("%s gets %d requests in a second, want at most %d", endpoint.Name(), worst, allowed)
+					}
+					demand := float64(hosts) / step.Seconds() // One request of each host in each step.
+					if least := int(0.8 * min(rate, demand) * length.Seconds()); len(sent) < least {
+						t.Errorf("%s gets %d requests in %v, want %d or more", endpoint.Name(), len(sent), length, least)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestWarmEndpoint checks that an endpoint that is no longer cold gets any number of
+// requests.
+func TestWarmEndpoint(t *testing.T) {
+	fleet := newFleet(1, 3, 1)
+	endpoint, permitter := endpoints(1, 1)[0], fleet.permitters["host-0-0"]
+	permitter.SetColdRates(coldRate(1))
+	report := definer.NewReport(true, 0, 0, 4, 1)
+	permitter.Record(fleet.now, endpoint, report.WithWarmupLeft(time.Second))
+	permitter.Record(fleet.now, endpoint, report.WithWarmupLeft(0))
+	for range 100 {
+		if !permitter.Take(fleet.now, endpoint) {
+			t.Fatal("a warm endpoint gets no requests")
+		}
+	}
+}
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -125,12 +125,26 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status >= minFinalStatus && status <= maxFinalStatus:
 			return response, nil
+		case status < http.StatusContinue, status > maxFinalStatus, status == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("%w: %03d", errInvalidStatus, status)
 		}
 	}
 }
 
+// The status codes of final responses. No request asks for another protocol, so that 101
+// is no valid status either.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// errInvalidStatus is the error for a response whose status code is neither that of a
+// final nor of an interim response. Nothing that follows on the connection can be trusted.
+var errInvalidStatus = errors.New("the answer has an invalid status code")
+
 // updateExpiry sets the idle timeout from the response's Keep-Alive header.
 func (connection *connection) updateExpiry(keepAlive string) {
 	connection.lastUsed = time.Now()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -190,6 +190,9 @@
 func (exchange *exchange) read() (*http.Response, Verdict, error) {
 	for range maxForeign {
 		response, err := exchange.connection.readHead(exchange.request.Method(), exchange.sender.headBytes)
+		if errors.Is(err, errInvalidStatus) {
+			return nil, Invalid, dispatcher.NewFailure(dispatcher.Malformed, true, err)
+		}
 		if err != nil {
 			return nil, Invalid, err
 		}
