soaker: accounts, keys, quotas, evacuations, regions and endpoints that hang

Cause: the soak knew none of the new features. Change: callers of two accounts, one with a quota below its demand, use lasting keys and keys that two versions have; half of the endpoints are in another region, which requests of the non-repeatable route must not reach; events evacuate a data centre and let endpoints hang. Five checks, each seen failing in TestChecks.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -166,6 +166,7 @@
 		caller.soaker.journal.addViolation("soak", err.Error())
 		return false
 	}
+	platform.SetKey(httpRequest, keyOf(request))
 	request.begun = time.Now()
 	err = caller.newUpload().write(caller.conn, caller, httpRequest, request.body)
 	if err == nil {
@@ -226,6 +227,10 @@
 	request := request{
 		id: fmt.Sprintf("%d-%d-%d", caller.soaker.seed, caller.index, caller.count), method: http.MethodGet,
 		repeatable: true, gateway: caller.gateway.name, processNumber: caller.processNumber, deadline: deadline,
+		account: accountNames[caller.index%len(accountNames)],
+	}
+	if caller.random.Float64() < rotatingKeyShare {
+		request.keyVersion = caller.soaker.version() - min(caller.soaker.version()-1, caller.random.Uint64N(maxKeyAge+1))
 	}
 	switch draw := caller.random.Float64(); {
 	case draw < manyShare:
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -33,6 +33,11 @@
 	{"attempts", tooManyAttempts},
 	{"budget", overRetryBudget},
 	{"stop-cuts-nothing", interruptedByStop},
+	{"account", wrongAccounts},
+	{"withdrawn-key", withdrawnKeys},
+	{"quota", overQuota},
+	{"evacuated", routedAfterEvacuation},
+	{"regions", outsideRegions},
 	{"recovers", notRecovered},
 }
 
@@ -167,7 +172,9 @@
 
 func unexpectedClientErrors(observations *observations) (found []string) {
 	for _, request := range observations.requests {
-		if request.signer == "" && request.status/100 == 4 && !slices.Contains(notRunStatuses, request.status) {
+		rejectedKey := request.status == http.StatusUnauthorized && request.keyVersion > 0 // See keyRejectedInForce.
+		if request.signer == "" && request.status/100 == 4 && !slices.Contains(notRunStatuses, request.status) &&
+			(!rejectedKey || observations.keyRejectedInForce(request)) {
 			found = append(found, fmt.Sprintf("%s got %d from %s", request.id, request.status, request.gateway))
 		}
 	}
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -17,14 +17,17 @@
 // start, ran once and was answered.
 func servedRequest(id, target string, seconds float64) request {
 	return request{
-		id: id, target: target, repeatable: target[:5] != "/once", gateway: "g0", processNumber: 1,
+		id: id, target: target, repeatable: target[:5] != "/once", gateway: "g0", processNumber: 1, account: "clerks",
 		deadline: usualDeadline, begun: atSeconds(seconds), sent: atSeconds(seconds), ended: atSeconds(seconds + 0.05), status: 200,
 		answer: string(answerBody(id, "e")), signer: "e", signed: id,
 	}
 }
 
 func runOn(request request, endpoint, service string) run {
-	return run{id: request.id, endpoint: endpoint, service: service, target: request.target, at: request.sent, ended: request.ended}
+	return run{
+		id: request.id, endpoint: endpoint, service: service, target: request.target, at: request.sent, ended: request.ended,
+		account: request.account, dataCentre: dataCentreName,
+	}
 }
 
 // stoppedRequest is a request to the gateway that stops at 30 s; all times are in
@@ -123,6 +126,29 @@
 			journal.requests = append(journal.requests, cut)
 			journal.runs = append(journal.runs, runOn(cut, "e", onceService))
 		},
+		"account": func(journal *journal) { journal.runs[0].account = "notaries" },
+		"withdrawn-key": func(journal *journal) {
+			late := servedRequest("late", "/many/x", 30)
+			late.keyVersion = 1
+			journal.requests = append(journal.requests, late)
+			journal.runs = append(journal.runs, runOn(late, "e", manyService))
+		},
+		"quota": func(journal *journal) {
+			for number := range int((quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOverage)) + quotaSlack + 1 {
+				request := servedRequest(fmt.Sprint("quota-", number), "/many/x", 30+float64(number)/100)
+				request.account = limitedAccount
+				journal.requests = append(journal.requests, request)
+				journal.runs = append(journal.runs, runOn(request, "e", manyService))
+			}
+		},
+		"evacuated": func(journal *journal) { journal.addEvacuation(dataCentreName, atSeconds(20), atSeconds(25.5)) },
+		"regions": func(journal *journal) {
+			for index, run := range journal.runs {
+				if run.service == onceService {
+					journal.runs[index].dataCentre = farDataCentreName
+				}
+			}
+		},
 		"recovers": func(journal *journal) {
 			for index, request := range journal.requests {
 				if request.sent.After(journal.recovered) {
@@ -235,6 +261,11 @@
 // explains are not reported as violations.
 func TestChecksTolerateDisturbances(t *testing.T) {
 	for name, corrupt := range map[string]func(journal *journal){
+		"a withdrawn key that is rejected": func(journal *journal) {
+			late := servedRequest("late", "/many/x", 30)
+			late.keyVersion, late.status, late.signer = 1, 401, ""
+			journal.requests = append(journal.requests, late)
+		},
 		"a late version while the gateway was paused": func(journal *journal) {
 			journal.versions = append(journal.versions, atSeconds(36))
 			journal.disturbances = map[string][]disturbance{"g0": {{from: atSeconds(35), to: atSeconds(60)}}}
--- a/internal/soaker/gateway.go
+++ b/internal/soaker/gateway.go
@@ -19,12 +19,26 @@
 )
 
 const (
-	regionName     = "r"
-	dataCentreName = "r-a"
+	// The gateways and half of the endpoints are in dataCentreName, the other endpoints in
+	// farDataCentreName. Requests of the non-repeatable route stay in regionName.
+	regionName        = "r"
+	dataCentreName    = "r-a"
+	farDataCentreName = "s-a"
 	// restartTime is the time after which a process that ended is restarted.
 	restartTime = 300 * time.Millisecond
 )
 
+// regions holds the region of each data centre.
+var regions = map[string]string{dataCentreName: regionName, farDataCentreName: "s"}
+
+// dataCentreOf returns the data centre for a number: both in turn.
+func dataCentreOf(number int) string {
+	if number%2 == 0 {
+		return dataCentreName
+	}
+	return farDataCentreName
+}
+
 // gateway supervises the process of one gateway, and serves the store to it.
 type gateway struct {
 	name    string
@@ -97,7 +111,7 @@
 [gateway]
 ready-address = %s
 directory-address = %s
-data-centres = %s=%s
+data-centres = %s=%s, %s=%s
 apply-bound = %v
 retry-slack = %d
 
@@ -135,7 +149,8 @@
 		names = append(names, fmt.Sprintf("seed-%d=%s", index, seed.peer))
 	}
 	text := fmt.Sprintf(settingsText, gateway.name, regionName, dataCentreName, gateway.address, gateway.peer,
-		gateway.storeProxy.address(), gateway.ready, gateway.directory, dataCentreName, regionName, applyBound, budgetSlack, budgetRatio,
+		gateway.storeProxy.address(), gateway.ready, gateway.directory, dataCentreName, regionName,
+		farDataCentreName, regions[farDataCentreName], applyBound, budgetSlack, budgetRatio,
 		graceBound, strings.Join(names, ", "))
 	return os.WriteFile(gateway.settingsFile(), []byte(text), 0o644)
 }
--- a/internal/soaker/journal.go
+++ b/internal/soaker/journal.go
@@ -13,6 +13,10 @@
 type request struct {
 	id, method, target, body string
 	repeatable               bool
+	// account is the account of the caller's key. keyVersion is the version that added the
+	// key; 0 for a key that all versions have.
+	account    string
+	keyVersion uint64
 	// gateway is the name of the gateway that received the request, and
 	// processNumber the number of its process, counted from 1.
 	gateway       string
@@ -43,7 +47,13 @@
 // run is one execution of a request by an endpoint.
 type run struct {
 	id, endpoint, service, target, body string
-	at                                  time.Time
+	// account is the account that the request named, and keyed is true if it carried an
+	// API key.
+	account string
+	keyed   bool
+	// dataCentre is that of the endpoint.
+	dataCentre string
+	at         time.Time
 	// ended is when the endpoint had sent its answer or lost its connection; zero if
 	// it was at work at the end of the soak.
 	ended time.Time
@@ -93,6 +103,8 @@
 	versions []time.Time
 	// drains holds when the drain or removal of an endpoint was published.
 	drains map[string]time.Time
+	// evacuations holds the evacuations of each data centre.
+	evacuations map[string][]evacuation
 	// stops holds when gateways were told to stop, and reloads when they were told to
 	// reload their settings.
 	stops   map[string][]stop
@@ -178,6 +190,18 @@
 	journal.drains[endpoint] = time.Now()
 }
 
+// evacuation is a period in which the endpoints of a data centre must get no requests.
+type evacuation struct{ from, to time.Time }
+
+func (journal *journal) addEvacuation(dataCentre string, from, to time.Time) {
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
+	if journal.evacuations == nil {
+		journal.evacuations = make(map[string][]evacuation)
+	}
+	journal.evacuations[dataCentre] = append(journal.evacuations[dataCentre], evacuation{from: from, to: to})
+}
+
 func (journal *journal) addStop(gateway string) {
 	journal.mu.Lock()
 	defer journal.mu.Unlock()
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -43,6 +43,8 @@
 	EndpointTruncatesAnswers Kind = "endpoint-cuts-answers"
 	EndpointFails            Kind = "endpoint-fails"
 	EndpointFull             Kind = "endpoint-full"
+	EndpointHangs            Kind = "endpoint-hangs"
+	Evacuate                 Kind = "evacuate"
 	Publish                  Kind = "publish"
 	PublishStorm             Kind = "publish-storm"
 	InvalidEntry             Kind = "foreign-entry"
@@ -52,7 +54,7 @@
 	StopGateway, KillGateway, PauseGateway, ReloadSettings, KillAll, StopInTurn, StopAndReload, StopTwice,
 	StoreOutage, StoreSlow, StoreCompacts, StoreLosesAnswers, StoreRefusesGateway, StoreThrottlesGateway, StoreIgnoresGateway, WatchesReset,
 	StorePathDelayed, StorePathReset, StorePathOneWay, StorePathSilent,
-	EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointReplaced, EndpointDrains, EndpointTruncatesAnswers, EndpointFails, EndpointFull,
+	EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointReplaced, EndpointDrains, EndpointTruncatesAnswers, EndpointFails, EndpointFull, EndpointHangs, Evacuate,
 	Publish, PublishStorm, InvalidEntry,
 }
 
--- a/internal/soaker/plan_runner.go
+++ b/internal/soaker/plan_runner.go
@@ -112,6 +112,8 @@
 		soaker.operator.RegisterInvalid(fmt.Sprintf("foreign-%d", event.target), []byte(`{"service":7,"address":null}`))
 	case StoreCompacts:
 		soaker.keyspace.Compact()
+	case Evacuate:
+		return soaker.evacuate(dataCentreOf(event.target), event.duration+evacuationBound)
 	case EndpointCrash:
 		return eventRunner.stubSupervisor().crash()
 	case EndpointReplaced:
@@ -191,6 +193,8 @@
 		eventRunner.injectStubFault(failing)
 	case EndpointFull:
 		eventRunner.injectStubFault(saturated)
+	case EndpointHangs:
+		eventRunner.injectStubFault(hanging)
 	}
 }
 
--- a/internal/soaker/routing.go
+++ b/internal/soaker/routing.go
@@ -33,14 +33,14 @@
 func routesOf(version uint64) []definer.Route {
 	return []definer.Route{
 		newRoute("many", manyPrefix, manyService, true),
-		newRoute("once", oncePrefix, onceService, false),
+		newRoute("once", oncePrefix, onceService, false, definer.RouteRegions([]string{regionName})),
 		newRoute("moved", movedPrefix, movedServiceOf(version), true),
 	}
 }
 
-func newRoute(name, prefix, service string, repeatable bool) definer.Route {
-	return definer.NewRoute(name, prefix, []definer.Destination{definer.NewDestination(service, 1)},
-		definer.RouteRepeatable(repeatable), definer.RouteAttempts(attempts), definer.RouteTimeouts(routeTimeout, targetLatency))
+func newRoute(name, prefix, service string, repeatable bool, options ...definer.RouteOption) definer.Route {
+	options = append(options, definer.RouteRepeatable(repeatable), definer.RouteAttempts(attempts), definer.RouteTimeouts(routeTimeout, targetLatency))
+	return definer.NewRoute(name, prefix, []definer.Destination{definer.NewDestination(service, 1)}, options...)
 }
 
 // movedServiceOf returns the service to which a version moves the moved route.
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -43,6 +43,9 @@
 	budgetWindow = 10 * time.Second
 	budgetRatio  = 0.2
 	budgetSlack  = 56
+	// evacuationBound is the time from the request for an evacuation until the endpoints
+	// of the data centre get no requests.
+	evacuationBound = 5 * time.Second
 	// slowedFactor is the factor by which a slowed gateway may use an old
 	// version for longer.
 	slowedFactor = 8
@@ -97,12 +100,14 @@
 
 	keyspace *emulator.Keyspace
 	operator *platform.Operator
-	// mu guards routingVersion and versionStubs.
+	// mu guards routingVersion, versionStubs and evacuated.
 	mu sync.Mutex
 	// routingVersion is the version of the published routing.
 	routingVersion uint64
 	// versionStubs are the endpoints to which the versions move the moved route.
-	versionStubs    []*stub
+	versionStubs []*stub
+	// evacuated holds the data centres that are evacuated; mu guards it.
+	evacuated       map[string]bool
 	stubSupervisors []*stubSupervisor
 	gateways        []*gateway
 	callers         []*caller
@@ -183,7 +188,7 @@
 	defer soaker.mu.Unlock()
 	soaker.routingVersion++
 	service := movedServiceOf(soaker.routingVersion)
-	stub, err := newStub(service, service, soaker.journal)
+	stub, err := newStub(service, service, dataCentreName, soaker.journal)
 	if err != nil {
 		return err
 	}
@@ -191,11 +196,51 @@
 	if err := soaker.operator.Register(stub.endpoint(stub.address())); err != nil {
 		return err
 	}
-	err = soaker.operator.Publish(soaker.routingVersion, hostName, routesOf(soaker.routingVersion), platform.StubHealthPath, callerLimits)
+	err = soaker.operator.Publish(soaker.routingVersion, hostName, routesOf(soaker.routingVersion), platform.StubHealthPath, callerLimits,
+		accountsOf(soaker.routingVersion)...)
 	soaker.journal.addVersion(soaker.routingVersion)
 	return err
 }
 
+// version returns the version of the published routing.
+func (soaker *Soaker) version() uint64 {
+	soaker.mu.Lock()
+	defer soaker.mu.Unlock()
+	return soaker.routingVersion
+}
+
+// evacuate evacuates a data centre for duration, unless it is evacuated already.
+func (soaker *Soaker) evacuate(dataCentre string, duration time.Duration) error {
+	if !soaker.beginEvacuation(dataCentre) {
+		return nil
+	}
+	from := time.Now()
+	if err := soaker.operator.Evacuate(dataCentre); err != nil {
+		return err
+	}
+	time.Sleep(duration)
+	soaker.journal.addEvacuation(dataCentre, from, time.Now())
+	soaker.operator.EndEvacuation(dataCentre)
+	soaker.mu.Lock()
+	defer soaker.mu.Unlock()
+	delete(soaker.evacuated, dataCentre)
+	return nil
+}
+
+// beginEvacuation marks a data centre as evacuated; false if it is already.
+func (soaker *Soaker) beginEvacuation(dataCentre string) bool {
+	soaker.mu.Lock()
+	defer soaker.mu.Unlock()
+	if soaker.evacuated[dataCentre] {
+		return false
+	}
+	if soaker.evacuated == nil {
+		soaker.evacuated = make(map[string]bool)
+	}
+	soaker.evacuated[dataCentre] = true
+	return true
+}
+
 // execute runs the fleet and the callers while the plan runner executes the
 // plan. All tasks have ended when it returns.
 func (soaker *Soaker) execute(ctx context.Context, plan Plan) error {
--- a/internal/soaker/stub.go
+++ b/internal/soaker/stub.go
@@ -40,12 +40,16 @@
 	failing
 	// truncating endpoints truncate half of their answers.
 	truncating
+	// hanging endpoints never answer.
+	hanging
 )
 
 // stub is a stub endpoint with an address of its own.
 type stub struct {
 	name, service string
-	journal       *journal
+	// dataCentre is where the endpoint is.
+	dataCentre string
+	journal    *journal
 	listener      net.Listener
 	server        http.Server
 	taskGroup     taskGroup
@@ -59,13 +63,14 @@
 	count int
 }
 
-// newStub returns a stub endpoint of service that already accepts connections.
-func newStub(name, service string, journal *journal) (*stub, error) {
+// newStub returns a stub endpoint of service in a data centre that already accepts
+// connections.
+func newStub(name, service, dataCentre string, journal *journal) (*stub, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("start endpoint %s: %w", name, err)
 	}
-	stub := &stub{name: name, service: service, journal: journal, listener: listener}
+	stub := &stub{name: name, service: service, dataCentre: dataCentre, journal: journal, listener: listener}
 	stub.server.Handler = &workHandler{stub: stub, handler: platform.NewStubHandler(stub)}
 	stub.taskGroup.add(context.Background(), stub)
 	return stub, nil
@@ -83,7 +88,7 @@
 
 // endpoint returns the registration of the stub at address.
 func (stub *stub) endpoint(address string) definer.Endpoint {
-	return definer.NewEndpoint(stub.name, stub.service, address, definer.NewPlace(regionName, dataCentreName), slots).
+	return definer.NewEndpoint(stub.name, stub.service, address, definer.NewPlace(regions[stub.dataCentre], stub.dataCentre), slots).
 		WithStartedAt(time.Now().UnixMilli())
 }
 
@@ -130,8 +135,13 @@
 	index := ctx.Value(runKey{}).(*int)
 	*index = stub.journal.addRun(run{
 		id: stubRequest.ID(), endpoint: stub.name, service: stub.service, target: stubRequest.Target(),
-		body: string(stubRequest.Body()), at: time.Now(),
+		body: string(stubRequest.Body()), at: time.Now(), dataCentre: stub.dataCentre,
+		account: stubRequest.Account(), keyed: stubRequest.Keyed(),
 	})
+	if stubMode == hanging {
+		<-ctx.Done() // The gateway has closed the connection.
+		return platform.Refused()
+	}
 	_ = emulator.Pause(ctx, workOf(stubRequest.Target()).beforeAnswer(stubRequest.ID())) // The work ends early if the caller disconnects.
 	body := answerBody(stubRequest.ID(), stub.name)
 	switch {
--- a/internal/soaker/stub_supervisor.go
+++ b/internal/soaker/stub_supervisor.go
@@ -59,7 +59,8 @@
 		service = onceService
 	}
 	stubSupervisor.endpointCount++
-	stub, err := newStub(fmt.Sprintf("e%d-%d", stubSupervisor.index, stubSupervisor.endpointCount), service, stubSupervisor.journal)
+	name := fmt.Sprintf("e%d-%d", stubSupervisor.index, stubSupervisor.endpointCount)
+	stub, err := newStub(name, service, dataCentreOf(stubSupervisor.index), stubSupervisor.journal)
 	if err != nil {
 		return err
 	}
--- a/internal/soaker/upload_test.go
+++ b/internal/soaker/upload_test.go
@@ -86,7 +86,7 @@
 // that its run lasts as long as its work.
 func TestWorkIsRecorded(t *testing.T) {
 	journal := &journal{}
-	stub, err := newStub("e", onceService, journal)
+	stub, err := newStub("e", onceService, dataCentreName, journal)
 	if err != nil {
 		t.Fatal(err)
 	}
