--- a/internal/soaker/accounts.go
+++ b/internal/soaker/accounts.go
@@ -49,7 +49,9 @@
 }
 
 // keyOf returns the key of a request.
-func keyOf(request request) string { return fmt.Sprintf("key-%s-%d", request.account, request.keyVersion) }
+func keyOf(request request) string {
+	return fmt.Sprintf("key-%s-%d", request.account, request.keyVersion)
+}
 
 // keyRejectedInForce reports whether a host that had access to the store rejected a key
 // that every version has that may have been in force there.
--- a/internal/soaker/stub.go
+++ b/internal/soaker/stub.go
@@ -50,9 +50,9 @@
 	// dataCentre is where the endpoint is.
 	dataCentre string
 	journal    *journal
-	listener      net.Listener
-	server        http.Server
-	taskGroup     taskGroup
+	listener   net.Listener
+	server     http.Server
+	taskGroup  taskGroup
 
 	// mu guards the fields below.
 	mu       sync.Mutex
