--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -114,6 +114,30 @@
 	return highest(nearest(hosts, place), key, count)
 }
 
+// First returns the index of the host to which something called key at place is assigned,
+// as Owners does for one host, or -1 if there are no hosts. It does not allocate.
+func First(hosts []definer.Host, place definer.Place, key string) int {
+	best, bestTier, bestWeight := -1, 0, uint64(0)
+	for index, host := range hosts {
+		tier := 0
+		switch {
+		case host.Place() == place:
+			tier = 2
+		case host.Place().Region() == place.Region():
+			tier = 1
+		}
+		if best >= 0 && tier < bestTier {
+			continue
+		}
+		weight := weight(host.Name(), key)
+		isBetter := weight > bestWeight || (weight == bestWeight && best >= 0 && host.Name() < hosts[best].Name())
+		if best < 0 || tier > bestTier || isBetter {
+			best, bestTier, bestWeight = index, tier, weight
+		}
+	}
+	return best
+}
+
 // nearest returns the hosts in place's data centre, or else those in its region,
 // or else all.
 func nearest(hosts []definer.Host, place definer.Place) []definer.Host {
