dispatcher: a permit for each request of an account with a quota

Change: SetThrottler; a request takes a permit after planning and the check for a stop, before an endpoint is selected, and each further attempt is charged. Without a permit it is refused as over-quota, not run, with Retry-After. Nothing changes for accounts without a rate.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -92,6 +92,7 @@
 	stopper     Stopper
 	claimer     Claimer
 	quarantiner Quarantiner
+	throttler   Throttler
 	budget      Budget
 	meters      meters
 	// answers counts the bytes of buffered answers.
@@ -200,8 +201,12 @@
 	return answer, nil
 }
 
-// execute sends the call, after claiming its key if it has one.
+// execute sends the call, after taking a permit if its account has a quota, and claiming its
+// key if it has one.
 func (dispatcher *Dispatcher) execute(ctx context.Context, call *call) (*Answer, error) {
+	if err := dispatcher.takePermit(ctx, call); err != nil {
+		return nil, err
+	}
 	if call.keyed {
 		return dispatcher.executeKeyed(ctx, call)
 	}
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -195,6 +195,9 @@
 		dispatcher.endAdmission(call, run, NewFailure(Unconnected, false, err))
 		return call.attempts.adjust(asRefusal(err))
 	}
+	if len(race.cancels) > 0 {
+		dispatcher.chargeAttempt(call)
+	}
 	run.endpoint = slot.Endpoint()
 	call.tried = append(call.tried, run.endpoint.Name())
 	call.attempts.begin()
