loader: setting first-start

Cause: at the first start of a fleet no host can have granted permits before, so that owners of quota shares need not wait for others to stop. Result: go test ./internal/loader passes.

--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -146,6 +146,17 @@
 	}
 }
 
+func boolean(field func(*Settings) *bool) check {
+	return func(settings *Settings, value string) error {
+		parsed, err := strconv.ParseBool(value)
+		if err != nil {
+			return errInvalid
+		}
+		*field(settings) = parsed
+		return nil
+	}
+}
+
 func duration(minimum, maximum string, field func(*Settings) *time.Duration) check {
 	return func(settings *Settings, value string) error {
 		parsed, err := time.ParseDuration(value)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -31,6 +31,7 @@
 	metricsAddress   string
 	regions          map[string]string
 	applyBound       time.Duration
+	firstStart       bool
 	retrySlack       int
 	plainPeers       string
 
@@ -124,6 +125,9 @@
 // ApplyBound is the time within which a change must be in force on every gateway.
 func (settings *Settings) ApplyBound() time.Duration { return settings.applyBound }
 
+// FirstStart reports whether no process of the fleet ran before this start.
+func (settings *Settings) FirstStart() bool { return settings.firstStart }
+
 // RetrySlack is how many retries for a service all gateways together may send
 // beyond the retry share.
 func (settings *Settings) RetrySlack() int { return settings.retrySlack }
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -79,6 +79,11 @@
 		doc: "The time within which a change in the store must be in force on every gateway.",
 		set: duration("100ms", "1m", func(settings *Settings) *time.Duration { return &settings.applyBound }),
 	},
+	{
+		section: "gateway", key: "first-start", defaultValue: "false", allowed: "true or false",
+		doc: "Whether no gateway of the fleet ran before this start, so that no host can have granted permits of quotas.",
+		set: boolean(func(settings *Settings) *bool { return &settings.firstStart }),
+	},
 	{
 		section: "gateway", key: "retry-slack", defaultValue: "20", allowed: "a number from 0 to 100000",
 		doc: "Retries that all gateways together may send for a service beyond the retry share.",
