launcher: permits between hosts

Cause: the owner of a quota share must answer the other hosts. Change: permitClient asks owners and answers PermitFetch. The updater passes the registered hosts and the time of the last freshness check to the throttler.

--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -11,6 +11,8 @@
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/locator"
 	"github.com/chivespool/chivespool/internal/reporter"
+	"github.com/chivespool/chivespool/internal/throttler"
+	"github.com/chivespool/chivespool/internal/tracker"
 	"github.com/chivespool/chivespool/platform"
 )
 
@@ -24,6 +26,11 @@
 	return gateway.tracker.View().Endpoints(service)
 }
 
+// AccountNamed returns the client account called name in the routing in force.
+func (gateway *Gateway) AccountNamed(name string) (*definer.Account, bool) {
+	return gateway.tracker.View().Table().AccountNamed(name)
+}
+
 // ColdRate returns the number of requests per second that one cold endpoint of service
 // takes from all hosts together, or 0 for any number.
 func (gateway *Gateway) ColdRate(service string) float64 {
@@ -126,6 +133,9 @@
 // updater passes each new view to the parts that keep state derived from it.
 type updater struct {
 	gateway *Gateway
+	// members are the hosts of view, for the throttler.
+	view    *tracker.View
+	members []throttler.Member
 }
 
 // updateInterval is the time between updates of the parts that depend on the
@@ -147,6 +157,7 @@
 		gateway.placer.Forget(view.Names())
 		gateway.permitter.Forget(view.Names())
 		gateway.permitter.SetHosts(time.Now(), view.Hosts())
+		updater.updateThrottler()
 		maxHosts = max(maxHosts, len(view.Hosts()))
 		settings := gateway.current.Load()
 		gateway.dispatcher.SetRetryBudget(budgetShare*settings.RetryShare(), budgetShare*float64(settings.RetrySlack())/float64(maxHosts))
@@ -158,6 +169,27 @@
 	}
 }
 
+// updateThrottler passes the registered hosts to the throttler, with a time at which they
+// were known to be complete: that of a freshness check before the view was read.
+func (updater *updater) updateThrottler() {
+	gateway := updater.gateway
+	now := gateway.clock.Now()
+	var checkedAt time.Time
+	select {
+	case <-gateway.tracker.Ready():
+		checkedAt = now.Add(-gateway.tracker.Age(now))
+	default:
+	}
+	if view := gateway.tracker.View(); view != updater.view {
+		updater.view, updater.members = view, nil
+		for _, host := range view.Hosts() {
+			item, _ := gateway.tracker.Item(hostPrefix + host.Name())
+			updater.members = append(updater.members, throttler.NewMember(host, item.Revision()))
+		}
+	}
+	gateway.throttler.Update(now, checkedAt, updater.members)
+}
+
 // budgetShare is the part of the fleet's retry budget that is divided among the
 // hosts; the rest is for hosts that are not known yet.
 const budgetShare = 0.8
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -10,7 +10,7 @@
 //	log
 //	links      messenger
 //	beliefs    poller, puller, updater
-//	routing    sender, quarantiner, verifier
+//	routing    sender, quarantiner, verifier, permits
 //	front      metrics, directory, ready, front
 //	fleet      reloader, enroller, usher
 //
@@ -22,7 +22,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +48,7 @@
 	"github.com/chivespool/chivespool/internal/sender"
 	"github.com/chivespool/chivespool/internal/stopper"
 	"github.com/chivespool/chivespool/internal/supervisor"
+	"github.com/chivespool/chivespool/internal/throttler"
 	"github.com/chivespool/chivespool/internal/timekeeper"
 	"github.com/chivespool/chivespool/internal/tracker"
 	"github.com/chivespool/chivespool/internal/verifier"
@@ -92,6 +95,9 @@
 	// quarantiner holds the requests that crash endpoints, which verifier finds.
 	quarantiner *quarantiner.Group
 	verifier    *verifier.Verifier
+	// throttler decides on the permits of accounts' quotas, and permits takes them.
+	throttler *throttler.Throttler
+	permits   *permitClient
 	// stopper limits requests during a planned stop.
 	stopper *stopper.Stopper
 	// peersRevision is the revision of the view that the messenger's peers are from.
@@ -181,6 +187,19 @@
 	gateway.dispatcher.SetClock(&gateway.clock)
 	gateway.dispatcher.SetStopper(gateway.stopper)
 	gateway.dispatcher.SetQuarantiner(gateway.verifier)
+	gateway.makeThrottler()
+}
+
+// makeThrottler creates the parts that keep requests within the quotas of accounts.
+func (gateway *Gateway) makeThrottler() {
+	settings := gateway.settings
+	regions := slices.Sorted(maps.Values(settings.Regions()))
+	gateway.throttler = throttler.New(gateway.self, slices.Compact(regions), settings.ApplyBound(), gateway.clock.Now(), gateway.log)
+	if settings.FirstStart() {
+		gateway.throttler.SetFirstStart()
+	}
+	gateway.permits = newPermitClient(gateway.throttler, gateway.messenger, gateway, &gateway.clock, gateway.registry)
+	gateway.dispatcher.SetThrottler(gateway.permits)
 }
 
 // Run runs the gateway until ctx is done, then stops it gracefully.
@@ -210,6 +229,7 @@
 	routing.Add("sender", gateway.sender)
 	routing.Add("quarantiner", gateway.quarantiner)
 	routing.Add("verifier", gateway.verifier)
+	routing.Add("permits", gateway.permits)
 	if settings.MetricsAddress() != "" {
 		acceptors.Add("metrics", gateway.listen(settings.MetricsAddress(), &metricsFront{gateway: gateway}))
 	}
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -10,8 +10,8 @@
 	"github.com/chivespool/chivespool/internal/tracker"
 )
 
-// peers connects the tracker to the messenger: it encodes and decodes the
-// requests and replies between entry hosts.
+// peers connects the tracker and the throttler to the messenger: it encodes and decodes
+// the requests and replies between entry hosts.
 type peers struct {
 	gateway *Gateway
 	packer  encoder.Packer
@@ -21,10 +21,17 @@
 
 // Handle answers a request of another entry host.
 func (peers *peers) Handle(ctx context.Context, _ string, request *encoder.Request) (*encoder.Reply, error) {
-	fetch := request.GetCopyFetch()
-	if fetch == nil {
-		return nil, messenger.NewError(messenger.Refused, "unknown-request", errUnknownRequest)
+	if fetch := request.GetCopyFetch(); fetch != nil {
+		return peers.serveCopy(ctx, fetch)
 	}
+	if fetch := request.GetPermitFetch(); fetch != nil {
+		return peers.gateway.permits.serve(fetch)
+	}
+	return nil, messenger.NewError(messenger.Refused, "unknown-request", errUnknownRequest)
+}
+
+// serveCopy answers a host that asks for the changes of the store.
+func (peers *peers) serveCopy(ctx context.Context, fetch *encoder.CopyFetch) (*encoder.Reply, error) {
 	update := peers.gateway.tracker.Serve(ctx, fetch.GetRevision(), fetch.GetProof())
 	items, err := peers.packer.Pack(fetch.GetRevision(), update)
 	if err != nil {
--- a/internal/throttler/fallback.go
+++ b/internal/throttler/fallback.go
@@ -37,13 +37,14 @@
 		return false
 	}
 	if fallback.generation != roster.generation {
-		if fallback.bucket.countedAt.IsZero() {
-			fallback.bucket.countedAt = throttler.startedAt.Add(time.Duration(throttler.fallbackFrom.Load()))
-		}
 		fallback.generation = roster.generation
 		use := throttler.fallbackUse(roster.hosts, ledger.name, ledger.rate, ledger.burst)
 		// A bucket allows its burst and what it earns: use in each window.
-		fallback.bucket.setLimits(now, use/2/window.Seconds(), use/2)
+		rate, burst := use/2/window.Seconds(), use/2
+		if fallback.bucket.countedAt.IsZero() {
+			fallback.bucket = newBucket(throttler.startedAt.Add(time.Duration(throttler.fallbackFrom.Load())), rate, burst)
+		}
+		fallback.bucket.setLimits(now, rate, burst)
 	}
 	return fallback.bucket.take(now, 1) == 1
 }
