throttler: tests of each rule for granting and of a restarted owner

Cause: the random schedules passed without the reset after an old view, without that after a new registration, and without the charge for further attempts.

--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/locator"
 )
 
 // allowed is the number of requests that requirement 2 allows in a window.
@@ -127,62 +128,123 @@
 	return fleet
 }
 
-// TestBelowQuota guards against refusals below the quota, as by a fixed split over hosts.
-func TestBelowQuota(t *testing.T) {
-	fleet := steady(1, 0.6)
-	total := len(fleet.sent) + fleet.refused
-	t.Logf("%d requests, %d refused, %d asked", total, fleet.refused, fleet.asked)
-	if fleet.refused*500 > total || fleet.fallbacks > 0 {
-		t.Errorf("%d of %d requests refused, %d by the fallback limit; want at most 0.2 %% and none", fleet.refused, total, fleet.fallbacks)
+// TestQuotaIsServed guards against refusals below the quota, as by a fixed split over hosts,
+// and against permits that nobody gets while too many ask for them.
+func TestQuotaIsServed(t *testing.T) {
+	for _, factor := range []float64{0.6, 5} {
+		fleet := steady(1, factor)
+		quota, total := fleet.account.Rate()*30, len(fleet.sent)+fleet.refused
+		t.Logf("demand of %.1f: %d requests, %d served of a quota of %.0f, %d messages", factor, total, len(fleet.sent), quota, fleet.asked)
+		if factor < 1 && (fleet.refused*500 > total || fleet.fallbacks > 0) {
+			t.Errorf("%d of %d requests refused, %d by the fallback limit; want at most 0.2 %% and none", fleet.refused, total, fleet.fallbacks)
+		}
+		if served := float64(len(fleet.sent)); factor > 1 && (served < 0.9*quota || served > 1.03*quota) {
+			t.Errorf("%.0f requests served, want 0.9 to 1.03 of the quota of %.0f", served, quota)
+		}
 	}
 }
 
-// TestAboveQuota guards against permits that nobody gets while too many ask for them, and
-// against a message for each refusal.
-func TestAboveQuota(t *testing.T) {
-	fleet := steady(2, 5)
-	quota := fleet.account.Rate() * 30
-	total := len(fleet.sent) + fleet.refused
-	t.Logf("%d requests, %d served of a quota of %.0f, %d asked", total, len(fleet.sent), quota, fleet.asked)
-	if served := float64(len(fleet.sent)); served < 0.9*quota || served > 1.1*quota {
-		t.Errorf("%.0f requests served, want 0.9 to 1.1 of the quota of %.0f", served, quota)
+// TestRestartedOwner guards against a share that nobody grants for the takeover delay after
+// each restart.
+func TestRestartedOwner(t *testing.T) {
+	account := definer.NewAccount("a", 0).WithQuota(40, 40)
+	fleet := newFleet(3, 9, 3, 6, account)
+	run := func(until time.Duration) {
+		for fleet.now.Sub(time.Unix(0, 0)) < until {
+			fleet.step(2 * account.Rate())
+		}
+	}
+	run(20 * time.Second)
+	owner := fleet.named(fleet.granter[0])
+	owner.dead, owner.startAt = true, fleet.now.Add(time.Second)
+	run(21 * time.Second)
+	fleet.sent = nil
+	run(23 * time.Second)
+	if fleet.granter[0] != owner.host.Name() || fleet.grants[fmt.Sprint(0, owner.host.Name())].Before(owner.startAt) {
+		t.Errorf("%s does not grant permits of its share 2 s after a restart", owner.host.Name())
+	}
+	if used, quota := len(fleet.sent), 2*account.Rate(); float64(used) < 0.8*quota {
+		t.Errorf("%d requests served in 2 s after a restart, want 0.8 of %.0f", used, quota)
 	}
 }
 
-// owner returns the throttler of a host that owns a share of account.
-func owner(account *definer.Account) *Throttler {
-	var members []Member
-	for number := range 100 {
-		host := definer.NewHost(fmt.Sprintf("host-%03d", number), "", "", definer.NewPlace("r", "dc"), 0)
-		members = append(members, NewMember(host, 1))
+// TestGrantRules guards the rules by which a host grants, each of which prevents two owners
+// of one share.
+func TestGrantRules(t *testing.T) {
+	account := definer.NewAccount("a", 0).WithQuota(30, 30)
+	place := definer.NewPlace("r", "dc")
+	first, second := definer.NewHost("host-0", "", "", place, 0), definer.NewHost("host-1", "", "", place, 0)
+	if locator.First([]definer.Host{first, second}, definer.Place{}, "a\x000") == 1 {
+		first, second = second, first
 	}
-	now := time.Unix(1000, 0)
-	for _, member := range members {
-		throttler := New(member.host, nil, testBound, now.Add(-time.Minute), discardJournal{})
-		throttler.Update(now.Add(-time.Minute), now.Add(-time.Minute), members)
-		throttler.roster.Load().checkedAt = now
-		ledger := throttler.ledger(account)
-		ledger.update(now, throttler.roster.Load(), account)
-		for index := range ledger.shares {
-			if ledger.shares[index].isLocal {
-				return throttler
+	alone := []Member{NewMember(first, 1)}
+	again := []Member{NewMember(first, 2)}
+	behind := []Member{NewMember(second, 3)}
+	both := []Member{NewMember(first, 1), NewMember(second, 3)}
+	bothAgain := []Member{NewMember(first, 2), NewMember(second, 3)}
+	// All hosts are seen by self, which is the first or the second, at whole seconds.
+	for _, test := range []struct {
+		name    string
+		self    definer.Host
+		views   map[int][]Member // By the time of a freshness check.
+		at      int
+		vouched uint64
+		granted bool
+	}{
+		{"first for the delay", first, map[int][]Member{0: alone, 4: alone, 8: both}, 11, 0, true},
+		{"first for less", first, map[int][]Member{0: alone, 4: alone}, 7, 0, false},
+		{"no check after the delay", first, map[int][]Member{0: alone, 4: alone, 7: alone}, 9, 0, false},
+		{"vouched for", first, map[int][]Member{0: alone}, 1, 1, true},
+		{"vouched for by an earlier registration", first, map[int][]Member{0: again}, 1, 1, false},
+		{"old view", first, map[int][]Member{0: alone, 4: alone, 8: alone}, 16, 0, false},
+		{"old view in between", first, map[int][]Member{0: alone, 4: alone, 12: alone}, 13, 0, false},
+		{"registered again", first, map[int][]Member{0: both, 4: both, 8: bothAgain}, 9, 0, false},
+		{"second", second, map[int][]Member{0: both, 4: both, 8: both}, 9, 0, false},
+		{"better host left", second, map[int][]Member{0: both, 4: behind, 8: behind}, 9, 0, false},
+		{"better host left long ago", second, map[int][]Member{0: both, 4: behind, 8: behind, 12: behind}, 13, 0, true},
+		{"better host came and left", second, map[int][]Member{0: behind, 4: both, 8: behind}, 9, 0, false},
+	} {
+		start := time.Unix(1000, 0)
+		throttler := New(test.self, nil, testBound, start, discardJournal{})
+		for second := range test.at {
+			if members, ok := test.views[second]; ok {
+				now := start.Add(time.Duration(second) * time.Second)
+				throttler.Update(now, now, members)
 			}
 		}
+		now := start.Add(time.Duration(test.at) * time.Second)
+		if answer := throttler.Grant(now, account, 0, NewAsk(1, 0).WithVouched(test.vouched)); test.vouched > 0 && answer.Granted() > 0 {
+			t.Errorf("%s: a permit at once, want an empty bucket", test.name)
+		}
+		answer := throttler.Grant(now.Add(time.Second/2), account, 0, NewAsk(1, 0).WithVouched(test.vouched))
+		if (answer.Granted() == 1) != test.granted {
+			t.Errorf("%s: %d permits granted, want a permit: %v", test.name, answer.Granted(), test.granted)
+		}
+	}
+}
+
+// ownShare returns a function that takes a permit of a share of the only host.
+func ownShare(account *definer.Account) func() Verdict {
+	start := time.Unix(1000, 0)
+	members := []Member{NewMember(definer.NewHost("host", "", "", definer.Place{}, 0), 1)}
+	throttler := New(members[0].host, nil, testBound, start, discardJournal{})
+	throttler.SetFirstStart()
+	throttler.Update(start, start, members)
+	now := start.Add(throttler.delay())
+	throttler.Update(now, now, members)
+	return func() Verdict {
+		search := throttler.Begin(account)
+		return throttler.Next(now, &search).Verdict()
 	}
-	return nil
 }
 
-// BenchmarkOwnShare measures a permit that this host grants to itself, which must not
-// allocate.
+// BenchmarkOwnShare measures a permit that a host grants to itself.
 func BenchmarkOwnShare(b *testing.B) {
-	account := definer.NewAccount("a", 0).WithQuota(1e12, 1e12)
-	throttler := owner(account)
-	now := time.Unix(1001, 0)
+	take := ownShare(definer.NewAccount("a", 0).WithQuota(1e12, 1e12))
 	b.ReportAllocs()
 	b.RunParallel(func(parallel *testing.PB) {
 		for parallel.Next() {
-			search := throttler.Begin(account)
-			if step := throttler.Next(now, &search); step.Verdict() != Granted {
+			if take() != Granted {
 				b.Error("no permit")
 				return
 			}
@@ -192,13 +254,8 @@
 
 // TestOwnShareAllocatesNothing guards the permit path, which runs for each request.
 func TestOwnShareAllocatesNothing(t *testing.T) {
-	account := definer.NewAccount("a", 0).WithQuota(1e9, 1e9)
-	throttler := owner(account)
-	now := time.Unix(1001, 0)
-	if allocations := testing.AllocsPerRun(100, func() {
-		search := throttler.Begin(account)
-		_ = throttler.Next(now, &search)
-	}); allocations > 0 {
-		t.Errorf("%v allocations for a permit, want none", allocations)
+	take := ownShare(definer.NewAccount("a", 0).WithQuota(1e9, 1e9))
+	if allocations := testing.AllocsPerRun(100, func() { _ = take() }); allocations > 0 || take() != Granted {
+		t.Errorf("%v allocations for a permit, want a permit and none", allocations)
 	}
 }
