--- a/internal/definer/report.go
+++ b/internal/definer/report.go
@@ -91,3 +91,15 @@
 	report.warmupLeft, report.warmupKnown = left, true
 	return report
 }
+
+// WithLoad returns a copy with other numbers of running and waiting requests.
+func (report Report) WithLoad(running, waiting int) Report {
+	report.running, report.waiting = running, waiting
+	return report
+}
+
+// WithHealth returns a copy of the report of an endpoint that accepts work or does not.
+func (report Report) WithHealth(healthy bool) Report {
+	report.healthy = healthy
+	return report
+}
