placer: hosts prefer a subset of the endpoints; the search is a Selection

Change: each host prefers a small stable subset of its data centre's endpoints by rendezvous hashing, each endpoint with the same number of hosts, and six at other distances; of these first the ones with an idle connection. Endpoints found crowded, slow, cold or unhealthy in the last 75 ms come last. Selection holds the decisions of one search, so that a replay uses the same code as package assigner.

--- a/internal/placer/learn.go
+++ b/internal/placer/learn.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // RecordStart records that a request was sent to the endpoint called name.
 func (placer *Placer) RecordStart(name string) {
@@ -69,4 +72,5 @@
 			delete(placer.records, name)
 		}
 	}
+	maps.DeleteFunc(placer.subset.ranks, func(name string, _ rank) bool { return !known[name] })
 }
--- /dev/null
+++ b/internal/placer/pacing_test.go
@@ -0,0 +1,384 @@
+package placer
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/pacer"
+)
+
+// largeDeployment is a deployment of 17 hosts and 45 endpoints in each of six data centres;
+// load is a factor of 450 requests a second.
+func largeDeployment(load float64) deployment {
+	return deployment{
+		hosts: 102, noiseShare: 0.25, noiseSlowdown: 5, crowdedSlowdown: 1.7,
+		services: []emulatedService{{name: "parcel", endpoints: 102, slots: 6}, {name: "tile", endpoints: 102, slots: 4}, {name: "filing", endpoints: 66, slots: 6}},
+		classes: []emulatedClass{
+			{name: "lookup", service: "parcel", work: 300 * ms, deadline: 2500 * ms, target: 900 * ms, timeout: 1500 * ms, perSecond: 170 * load, worth: 1},
+			{name: "render", service: "tile", work: 190 * ms, deadline: 2000 * ms, target: 600 * ms, timeout: 1200 * ms, perSecond: 180 * load, worth: 1},
+			{name: "file", service: "filing", work: 350 * ms, deadline: 3000 * ms, target: 1200 * ms, timeout: 2000 * ms, perSecond: 100 * load, worth: 2},
+		},
+	}
+}
+
+// emulatedIdleTime is the time for which an idle connection is kept.
+const emulatedIdleTime = 8 * time.Second
+
+// pacedEmulation plays a deployment with the decisions of package pacer and the hosts'
+// subsets, as package assigner does.
+type pacedEmulation struct {
+	*emulation
+	pacers []*pacer.Pacer
+	hosts  []*pacedHost
+	// dialed counts new connections, and served the requests by endpoint.
+	dialed int
+	served map[string]int
+}
+
+// pacedHost is what a host keeps beside its placer and its pacer.
+type pacedHost struct {
+	emulation *pacedEmulation
+	// idle holds the expiry times of idle connections by endpoint.
+	idle map[string][]time.Duration
+	// joined holds what waits for the probe under way by endpoint, and round what waits for
+	// the round of a service.
+	joined map[string][]func(pacer.Reading)
+	round  map[string][]func()
+}
+
+// HasIdle implements Connections.
+func (pacedHost *pacedHost) HasIdle(endpoint definer.Endpoint) bool {
+	list := pacedHost.idle[endpoint.Name()]
+	return len(list) > 0 && list[len(list)-1] >= pacedHost.emulation.now
+}
+
+func (pacedHost *pacedHost) take(endpoint string) {
+	list := pacedHost.idle[endpoint]
+	if len(list) == 0 || list[len(list)-1] < pacedHost.emulation.now {
+		pacedHost.emulation.dialed++
+		return
+	}
+	pacedHost.idle[endpoint] = list[:len(list)-1]
+}
+
+func (pacedHost *pacedHost) put(endpoint string) {
+	pacedHost.idle[endpoint] = append(pacedHost.idle[endpoint], pacedHost.emulation.now+emulatedIdleTime)
+}
+
+func newPacedEmulation(deployment deployment, seed uint64, rate float64) *pacedEmulation {
+	paced := &pacedEmulation{emulation: newEmulation(deployment, seed), served: make(map[string]int)}
+	var hosts []definer.Host
+	for index := range deployment.hosts {
+		hosts = append(hosts, definer.NewHost(fmt.Sprint("host-", index), "", "", emulatedPlaces[index%len(emulatedPlaces)], 1))
+	}
+	for index, host := range hosts {
+		added := &pacedHost{emulation: paced, idle: make(map[string][]time.Duration), joined: make(map[string][]func(pacer.Reading)), round: make(map[string][]func())}
+		paced.hosts = append(paced.hosts, added)
+		pacer := &pacer.Pacer{}
+		pacer.SetRate(paced.time(), rate, len(paced.byName), len(hosts))
+		paced.pacers = append(paced.pacers, pacer)
+		paced.placers[index].SetHosts(host.Name(), hosts)
+		paced.placers[index].SetConnections(added)
+	}
+	return paced
+}
+
+// play plays the deployment for a time.
+func (paced *pacedEmulation) play(length time.Duration) {
+	for index := range paced.classes {
+		paced.arrive(&paced.classes[index], length)
+	}
+	for nextNoise := time.Duration(0); paced.now < length+5*time.Second; paced.now += emulationStep {
+		if paced.now >= nextNoise {
+			paced.changeNoise()
+			nextNoise += noiseInterval
+		}
+		for len(paced.events) > 0 && paced.events[0].at <= paced.now {
+			heap.Pop(&paced.events).(event).run()
+		}
+		for _, service := range paced.services {
+			for _, endpoint := range paced.endpoints[service.name] {
+				paced.step(endpoint)
+			}
+		}
+	}
+}
+
+func (paced *pacedEmulation) arrive(class *emulatedClass, length time.Duration) {
+	wait := time.Duration(paced.random.ExpFloat64() / class.perSecond * float64(time.Second))
+	if paced.now+wait > length {
+		return
+	}
+	paced.schedule(wait, func() {
+		paced.asked[class.name]++
+		paced.place(&job{class: class, host: paced.random.IntN(len(paced.hosts)), first: paced.now, arrived: paced.now}, 0, false)
+		paced.arrive(class, length)
+	})
+}
+
+// step runs an endpoint for one step and returns the connections of the requests that have
+// ended; a request that was given up closes its own.
+func (paced *pacedEmulation) step(endpoint *emulatedEndpoint) {
+	before := slices.Concat(endpoint.running, endpoint.waiting)
+	paced.advance(endpoint)
+	if len(endpoint.running)+len(endpoint.waiting) == len(before) {
+		return
+	}
+	for _, ended := range before {
+		kept := func(other work) bool { return other.job == ended.job }
+		if slices.ContainsFunc(endpoint.running, kept) || slices.ContainsFunc(endpoint.waiting, kept) {
+			continue
+		}
+		if paced.left(ended.job) > 0 {
+			paced.hosts[ended.job.host].put(endpoint.endpoint.Name())
+			paced.pacers[ended.job.host].Record(paced.time(), endpoint.endpoint, endpoint.report())
+		}
+	}
+}
+
+// search is the search for an endpoint for one attempt.
+type search struct {
+	*Selection
+	job    *job
+	waited time.Duration
+	// leads is true for the leader of a round.
+	leads bool
+}
+
+func (paced *pacedEmulation) place(job *job, waited time.Duration, leads bool) {
+	var endpoints []definer.Endpoint
+	for _, endpoint := range paced.endpoints[job.class.service] {
+		endpoints = append(endpoints, endpoint.endpoint)
+	}
+	phase := pacer.Arriving
+	if leads {
+		phase = pacer.Leading
+	} else if waited > 0 {
+		phase = pacer.Following
+	}
+	selection := paced.placers[job.host].Select(paced.time(), paced.pacers[job.host], nil, endpoints, paced.request(job), phase)
+	paced.next(&search{Selection: selection, job: job, waited: waited, leads: leads})
+}
+
+// next probes the next tier if it is needed, and decides otherwise.
+func (paced *pacedEmulation) next(search *search) {
+	if !search.Next(paced.time()) {
+		paced.decide(search)
+		return
+	}
+	host, pending := paced.hosts[search.job.host], 1
+	done := func() {
+		if pending--; pending == 0 {
+			search.Compare(paced.time())
+			paced.next(search)
+		}
+	}
+	for _, step := range search.Plan(paced.time()) {
+		name := step.Endpoint().Name()
+		switch step.Action() {
+		case pacer.Probe:
+			pending++
+			paced.sendProbe(search, step.Endpoint(), done)
+		case pacer.Join:
+			pending++
+			host.joined[name] = append(host.joined[name], func(reading pacer.Reading) {
+				search.Add(step.Endpoint(), reading)
+				done()
+			})
+		}
+	}
+	done()
+}
+
+func (paced *pacedEmulation) sendProbe(search *search, endpoint definer.Endpoint, done func()) {
+	host, pace, name := paced.hosts[search.job.host], paced.pacers[search.job.host], endpoint.Name()
+	paced.probes++
+	host.take(name)
+	ticket := pace.Begin(paced.time(), name)
+	roundTrip := emulatedRoundTrips[paced.placers[search.job.host].distance(endpoint)]
+	paced.schedule(roundTrip/2, func() {
+		report := paced.byName[name].report()
+		paced.schedule(roundTrip/2, func() {
+			host.put(name)
+			pace.End(paced.time(), ticket, report, true)
+			reading, joined := pacer.NewReading(ticket, report), host.joined[name]
+			delete(host.joined, name)
+			search.Add(endpoint, reading)
+			done()
+			for _, join := range joined {
+				join(reading)
+			}
+		})
+	})
+}
+
+// decide judges the choice, as assigner.Acquire does.
+func (paced *pacedEmulation) decide(search *search) {
+	job, placer, host := search.job, paced.placers[search.job.host], paced.hosts[search.job.host]
+	if search.leads {
+		for _, follower := range host.round[job.class.service] {
+			paced.schedule(0, follower)
+		}
+		delete(host.round, job.class.service)
+	}
+	verdict := Judge(search.choice, search.waited)
+	if verdict == Wait {
+		paced.wait(search)
+		return
+	}
+	if search.waited > 0 {
+		placer.RecordWait(paced.request(job), search.Choice().HasCapacity())
+	}
+	if verdict == Refuse {
+		paced.refuse(job)
+		return
+	}
+	endpoint := paced.byName[search.choice.Endpoint().Name()]
+	name := endpoint.endpoint.Name()
+	if !paced.pacers[job.host].Start(name, search.Seen()) {
+		paced.place(job, search.waited, false)
+		return
+	}
+	placer.RecordStart(name)
+	host.take(name)
+	paced.served[name]++
+	job.started, job.forecast = paced.now, search.choice.Forecast()
+	amount := job.class.work.Seconds() * math.Exp(0.3*paced.random.NormFloat64())
+	if paced.random.Float64() < 0.03 {
+		amount *= 7
+	}
+	paced.schedule(emulatedRoundTrips[placer.distance(endpoint.endpoint)]/2, func() {
+		endpoint.waiting = append(endpoint.waiting, work{left: amount, job: job})
+	})
+}
+
+// wait waits for the round of the service, or for a pause of its own.
+func (paced *pacedEmulation) wait(search *search) {
+	job, host, from := search.job, paced.hosts[search.job.host], paced.now
+	pause := ProbeInterval/2 + time.Duration(paced.random.Int64N(int64(ProbeInterval)))
+	again := func(leads bool) func() {
+		return func() { paced.place(job, search.waited+max(paced.now-from, 1), leads) }
+	}
+	followers, waiting := host.round[job.class.service]
+	if waiting {
+		host.round[job.class.service] = append(followers, again(false))
+		return
+	}
+	host.round[job.class.service] = nil
+	paced.schedule(pause, again(true))
+}
+
+// refuse lets the caller return once, after a random delay.
+func (paced *pacedEmulation) refuse(refused *job) {
+	if refused.retried {
+		paced.refused[refused.class.name]++
+		return
+	}
+	again := *refused
+	again.retried = true
+	delay := RetryAfter(paced.random.Float64())
+	paced.schedule(min(delay, (refused.class.deadline-(paced.now-refused.first))/3), func() {
+		again.arrived, again.host = paced.now, paced.random.IntN(len(paced.hosts))
+		paced.place(&again, 0, false)
+	})
+}
+
+// outcome is the result of a replay.
+type outcome struct {
+	credit float64
+	// probes are for each endpoint and second, and dialed new connections for each request.
+	probes, dialed float64
+	// busiest is the number of requests of the busiest endpoint of a service as a multiple
+	// of the mean.
+	busiest float64
+}
+
+const replayTime = 8 * time.Second
+
+// replay plays the deployment with a bound on the probes for each endpoint and second.
+func replay(t *testing.T, deployment deployment, rate float64) outcome {
+	t.Helper()
+	paced := newPacedEmulation(deployment, 1, rate)
+	paced.play(replayTime)
+	asked := 0
+	for _, count := range paced.asked {
+		asked += count
+	}
+	result := measure(paced.emulation, paced.served)
+	result.dialed = float64(paced.dialed) / float64(asked)
+	t.Logf("bound %.0f: %s; %+v", rate, paced.describe(), result)
+	return result
+}
+
+// replayFormer plays the deployment as it was before reports were shared and endpoints
+// preferred.
+func replayFormer(t *testing.T, deployment deployment) outcome {
+	t.Helper()
+	emulation, served := newEmulation(deployment, 1), make(map[string]int)
+	emulation.judge = func(choice Choice, _ []Candidate, waited time.Duration) Verdict {
+		verdict := Judge(choice, waited)
+		if verdict == Serve {
+			served[choice.Endpoint().Name()]++
+		}
+		return verdict
+	}
+	emulation.play(replayTime)
+	result := measure(emulation, served)
+	t.Logf("former: %s; %+v", emulation.describe(), result)
+	return result
+}
+
+func measure(emulation *emulation, served map[string]int) outcome {
+	result := outcome{credit: emulation.credit(), probes: float64(emulation.probes) / float64(len(emulation.byName)) / replayTime.Seconds()}
+	for _, endpoints := range emulation.endpoints {
+		most, total := 0, 0
+		for _, endpoint := range endpoints {
+			most, total = max(most, served[endpoint.endpoint.Name()]), total+served[endpoint.endpoint.Name()]
+		}
+		result.busiest = max(result.busiest, float64(most)*float64(len(endpoints))/float64(total))
+	}
+	return result
+}
+
+// TestPacedOverload guards against probes beyond the fleet's bound under overload: each
+// waiting request probed all distances every 40 ms, 13 probes for a request. With the
+// bound, requests must still be placed about as well.
+func TestPacedOverload(t *testing.T) {
+	const bound = 42
+	former, paced := replayFormer(t, largeDeployment(8)), replay(t, largeDeployment(8), bound)
+	if former.probes <= bound {
+		t.Errorf("the former choice sends %.1f probes, so that the replay shows nothing", former.probes)
+	}
+	if paced.probes > bound || paced.credit < former.credit-0.03 {
+		t.Errorf("%.1f probes for each endpoint and second, %d allowed; credit %.3f, formerly %.3f", paced.probes, bound, paced.credit, former.credit)
+	}
+}
+
+// TestPacedPeak guards against the subsets concentrating the load at peak load, and against
+// more probes or connections than before there.
+func TestPacedPeak(t *testing.T) {
+	former, paced := replayFormer(t, largeDeployment(6)), replay(t, largeDeployment(6), 42)
+	if paced.busiest > 1.15*former.busiest {
+		t.Errorf("the busiest endpoint gets %.2f times the mean, formerly %.2f", paced.busiest, former.busiest)
+	}
+	if paced.dialed > 0.5 || paced.credit < former.credit-0.02 {
+		t.Errorf("%.2f new connections for a request; credit %.3f, formerly %.3f", paced.dialed, paced.credit, former.credit)
+	}
+}
+
+// TestPacedNormal checks that at normal load the bound changes nothing and requests are
+// placed as before, with at most as many probes.
+func TestPacedNormal(t *testing.T) {
+	former, free, paced := replayFormer(t, largeDeployment(2)), replay(t, largeDeployment(2), 0), replay(t, largeDeployment(2), 42)
+	if paced != free {
+		t.Errorf("with the bound %+v, without it %+v", paced, free)
+	}
+	if paced.probes > former.probes || paced.credit < former.credit-0.01 {
+		t.Errorf("%.1f probes for each endpoint and second, formerly %.1f; credit %.3f, formerly %.3f", paced.probes, former.probes, paced.credit, former.credit)
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -77,6 +77,10 @@
 	// pools holds the effects of the reports of each pool's endpoints.
 	pools  map[string]*effects
 	random *rand.Rand
+	// connections is nil if nothing is known of connections.
+	connections Connections
+	// subset holds the endpoints that the host prefers.
+	subset subset
 }
 
 // record is the recent history of an endpoint.
@@ -90,6 +94,11 @@
 	connectFailures int
 	// running counts this host's requests that the endpoint runs.
 	running int
+	// seenAt is when the endpoint's report was last compared.
+	seenAt time.Time
+	// troubledAt is when the endpoint was last found crowded, slow, cold or unhealthy; zero
+	// if it was not the last time.
+	troubledAt time.Time
 }
 
 // class holds estimates for a class of requests.
@@ -245,6 +254,7 @@
 	best, least := Choice{}, math.Inf(1)
 	for _, candidate := range candidates {
 		forecast := placer.forecast(candidate, class)
+		placer.recordTrouble(now, candidate, forecast)
 		cost := forecast.run*(1+placer.random.Float64()*costJitter[placer.distance(candidate.endpoint)]) + placer.networkCost(candidate.endpoint, class)
 		cost *= placer.penalty(now, candidate, request)
 		if cost < least {
--- a/internal/placer/tiers.go
+++ b/internal/placer/tiers.go
@@ -34,20 +34,21 @@
 		groups[distance] = append(groups[distance], endpoint)
 	}
 	var tiers []Tier
-	for _, group := range groups {
+	for distance, group := range groups {
 		placer.sortByFailures(now, group)
+		placer.prefer(now, group, distance)
 	}
 	for _, group := range groups[:distanceFar] {
 		first := min(firstProbes, len(group))
 		if first > 0 {
-			tiers = append(tiers, Tier{endpoints: group[:first]})
+			tiers = append(tiers, Tier{endpoints: group[:first], distance: group})
 		}
 		if len(group) > first {
 			tiers = append(tiers, Tier{endpoints: group[first:min(maxProbes, len(group))], additional: true})
 		}
 	}
 	if far := groups[distanceFar]; len(far) > 0 {
-		tiers = append(tiers, Tier{endpoints: far[:min(maxProbes, len(far))], far: true})
+		tiers = append(tiers, Tier{endpoints: far[:min(maxProbes, len(far))], distance: far, far: true})
 	}
 	rest := groups[distanceCount]
 	if len(tiers) > 0 {
@@ -63,6 +64,8 @@
 // Tier is a set of endpoints that are probed at once.
 type Tier struct {
 	endpoints []definer.Endpoint
+	// distance holds all endpoints at the tier's distance if the tier is the first there.
+	distance []definer.Endpoint
 	// far is true for endpoints in other regions.
 	far bool
 	// lastResort is true for endpoints that are ejected or were tried already.
