assigner, sender, launcher: requests of a host share probes

Cause: each request probed for itself, and each waiting request in rounds of its own.

Change: a probe under way answers all selections that want the endpoint's report, requests of a service that wait share one round of probes, and a slot known from one report goes to one request. The setting [gateway] probe-rate is the fleet's bound. Reports in the heads of answers are used too. The pool closes the connection that expires first when it is full, not the one that has just come back. Metrics count probes by reason, joined and reused reports, new connections and other health checks.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -1,6 +1,11 @@
 // Package assigner assigns each request to an endpoint, for package dispatcher:
 // it probes the endpoints that package placer selects, all of a tier at once, and
 // returns the one that placer chooses among those that package permitter permits.
+// Package pacer decides which of them are probed and whose last report is used instead.
+//
+// The requests of a host share its probes: a probe under way answers all selections that
+// want the endpoint's report, and requests of a service that wait for capacity wait for
+// the same round of probes.
 //
 // Where endpoints have home hosts, package router is used instead. The package
 // reads the clock and starts a goroutine for each probe; the network calls are
@@ -12,35 +17,21 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/pacer"
 	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
 	"github.com/chivespool/chivespool/internal/refuser"
 	"github.com/chivespool/chivespool/internal/router"
 )
 
-// Time limits of probes.
-const (
-	// tierGrace is the wait for the rest of a tier after the first answer: a round
-	// trip between data centres takes 2 ms, the rest is for processing.
-	tierGrace = 4 * time.Millisecond
-	// tierTimeout is the wait for the first answer: a round trip between regions
-	// takes 24 ms, and a new connection takes another one.
-	tierTimeout = 60 * time.Millisecond
-	// probeTimeout bounds one probe, which may go on after the choice, so that its
-	// connection is soon reused or closed.
-	probeTimeout = 250 * time.Millisecond
-)
-
 // Prober probes an endpoint for its load.
 type Prober interface {
 	Probe(ctx context.Context, endpoint definer.Endpoint) (definer.Report, error)
@@ -65,25 +56,45 @@
 	prober    Prober
 	placer    *placer.Placer
 	permitter *permitter.Permitter
+	pacer     *pacer.Pacer
 	journal   Journal
-	// probes counts the probes sent.
-	probes atomic.Int64
+	meters    meters
+	// tasks counts the probes under way, for Close.
+	tasks sync.WaitGroup
+	// mu guards the fields below.
+	mu sync.Mutex
+	// probes holds the latest probe under way of each endpoint by name.
+	probes map[string]*probe
+	// rounds holds the round that waiting requests wait for, by service.
+	rounds map[string]*round
 }
 
 // New returns an assigner whose choices are made by placer among the endpoints that
 // permitter permits.
 func New(directory Directory, prober Prober, placer *placer.Placer, permitter *permitter.Permitter, journal Journal) *Assigner {
-	return &Assigner{directory: directory, prober: prober, placer: placer, permitter: permitter, journal: journal}
+	return &Assigner{
+		directory: directory, prober: prober, placer: placer, permitter: permitter, journal: journal,
+		pacer: &pacer.Pacer{}, probes: make(map[string]*probe), rounds: make(map[string]*round),
+	}
 }
 
-// Probes returns the number of probes sent.
-func (assigner *Assigner) Probes() int64 { return assigner.probes.Load() }
+// SetPacer replaces the default pacer, which sets no bound on probes. Call it before the
+// first use.
+func (assigner *Assigner) SetPacer(pacer *pacer.Pacer) { assigner.pacer = pacer }
+
+// Close waits for the probes under way.
+func (assigner *Assigner) Close() error {
+	assigner.tasks.Wait()
+	return nil
+}
 
 // Acquire chooses an endpoint for request and returns a slot there. Its error is
 // a *refuser.Refusal.
 func (assigner *Assigner) Acquire(ctx context.Context, request router.Request) (dispatcher.Slot, error) {
-	start := time.Now()
-	for round := 0; ; round++ {
+	start, phase := time.Now(), pacer.Arriving
+	var led *round
+	defer func() { assigner.finish(led) }()
+	for {
 		// Endpoints may leave, and data centres may be evacuated, while the request waits.
 		endpoints := inRegions(assigner.directory.Endpoints(request.Pool()), request.Regions())
 		if len(endpoints) == 0 {
@@ -91,7 +102,10 @@
 		}
 		placerRequest := placer.NewRequest(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid()).
 			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority())
-		choice, candidates := assigner.choose(ctx, endpoints, placerRequest)
+		selection := assigner.choose(ctx, endpoints, placerRequest, phase)
+		choice := selection.Choice()
+		assigner.finish(led)
+		led = nil
 		if err := ended(ctx); err != nil {
 			return nil, err
 		}
@@ -99,29 +113,47 @@
 		if request.Hedge() && !choice.IsIdle() {
 			verdict = placer.Refuse
 		}
-		if verdict == placer.Wait && pause(ctx) {
-			continue
+		if verdict == placer.Wait {
+			var ok bool
+			if led, ok = assigner.wait(ctx, request.Pool()); ok {
+				phase = phaseOf(led)
+				continue
+			}
 		}
-		if round > 0 {
+		if phase != pacer.Arriving {
 			assigner.placer.RecordWait(placerRequest, choice.HasCapacity())
 		}
-		if verdict == placer.Serve && !assigner.permitter.Take(time.Now(), choice.Endpoint()) {
-			continue // Another request has used the permit since the choice.
+		if verdict == placer.Serve && !assigner.take(choice.Endpoint(), selection.Seen()) {
+			continue // Another request has used the slot or the permit since the choice.
 		}
 		if verdict == placer.Serve {
-			assigner.logChoice(request, choice, candidates, time.Since(start))
+			assigner.logChoice(request, choice, selection.Candidates(), time.Since(start))
 			return assigner.slot(choice, placerRequest), nil
 		}
 		if err := ended(ctx); err != nil {
 			return nil, err
 		}
 		if !choice.Found() {
-			return nil, assigner.refuseUnserved(request, endpoints, candidates)
+			return nil, assigner.refuseUnserved(request, endpoints, selection.Candidates())
 		}
-		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time: "+describe(candidates))
+		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time: "+describe(selection.Candidates()))
 	}
 }
 
+// take takes a permit for the chosen endpoint and counts the request there, unless
+// another request has used the permit or was assigned to the endpoint since the choice.
+func (assigner *Assigner) take(endpoint definer.Endpoint, seen uint64) bool {
+	if !assigner.pacer.Start(endpoint.Name(), seen) {
+		assigner.meters.collision()
+		return false
+	}
+	if !assigner.permitter.Take(time.Now(), endpoint) {
+		assigner.pacer.Cancel(endpoint.Name())
+		return false
+	}
+	return true
+}
+
 // inRegions returns the endpoints in regions; all if regions is empty.
 func inRegions(endpoints []definer.Endpoint, regions []string) []definer.Endpoint {
 	if len(regions) == 0 {
@@ -157,41 +189,6 @@
 	return nil
 }
 
-// pause waits between two rounds of probes. It returns false if ctx ended.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(placer.ProbeInterval/2 + rand.N(placer.ProbeInterval))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// choose probes tier by tier until no further tier is needed.
-func (assigner *Assigner) choose(ctx context.Context, endpoints []definer.Endpoint, request placer.Request) (placer.Choice, []placer.Candidate) {
-	var candidates []placer.Candidate
-	var choice placer.Choice
-	start := time.Now()
-	for _, tier := range assigner.placer.Tiers(start, assigner.permitter.Candidates(start, endpoints), request) {
-		if ctx.Err() != nil || !tier.Needed(choice) {
-			break
-		}
-		candidates = append(candidates, assigner.probeTier(ctx, tier.Endpoints())...)
-		choice = assigner.placer.Choose(time.Now(), assigner.permitted(candidates), request)
-	}
-	return choice, candidates
-}
-
-// permitted returns the candidates that a request may be sent to.
-func (assigner *Assigner) permitted(candidates []placer.Candidate) []placer.Candidate {
-	now := time.Now()
-	return slices.DeleteFunc(slices.Clone(candidates), func(candidate placer.Candidate) bool {
-		return !assigner.permitter.Permits(now, candidate.Endpoint())
-	})
-}
-
 // logChoice logs a choice with the reports that it is based on.
 func (assigner *Assigner) logChoice(request router.Request, choice placer.Choice, candidates []placer.Candidate, waited time.Duration) {
 	age, revision := assigner.directory.Freshness()
@@ -222,76 +219,6 @@
 	return refuser.New(kind, refuser.NotRun, detail).WithRetryAfter(placer.RetryAfter(rand.Float64()))
 }
 
-// probe is one probe of an endpoint.
-type probe struct {
-	assigner *Assigner
-	endpoint definer.Endpoint
-	// answers has room for all answers of the tier, so that sending never blocks.
-	answers chan<- answer
-}
-
-// answer is the outcome of a probe.
-type answer struct {
-	candidate placer.Candidate
-	err       error
-}
-
-// run probes the endpoint and sends the answer. It continues after the choice is
-// made, so that the connection is reused and the endpoint's state is recorded.
-func (probe *probe) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	report, err := probe.send(ctx)
-	if err != nil {
-		probe.assigner.placer.RecordUnreachable(time.Now(), probe.endpoint.Name())
-	} else {
-		probe.assigner.placer.RecordReachable(probe.endpoint.Name())
-	}
-	probe.answers <- answer{candidate: placer.NewCandidate(probe.endpoint, report), err: err}
-}
-
-// send probes the endpoint. A panic fails the probe.
-func (probe *probe) send(ctx context.Context) (report definer.Report, err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			klog.ErrorS(nil, "health check failed with a panic; please report it", "endpoint", probe.endpoint.Name(),
-				"cause", cause, "stack", string(debug.Stack()))
-			err = fmt.Errorf("panic: %v", cause)
-		}
-	}()
-	return probe.assigner.prober.Probe(ctx, probe.endpoint)
-}
-
-// probeTier probes all endpoints of tier at once and returns those that answered
-// in time.
-func (assigner *Assigner) probeTier(ctx context.Context, tier []definer.Endpoint) []placer.Candidate {
-	answers := make(chan answer, len(tier))
-	for _, endpoint := range tier {
-		assigner.probes.Add(1)
-		probe := &probe{assigner: assigner, endpoint: endpoint, answers: answers}
-		go probe.run()
-	}
-	timer := time.NewTimer(tierTimeout)
-	defer timer.Stop()
-	var candidates []placer.Candidate
-	for range tier {
-		select {
-		case answer := <-answers:
-			if answer.err != nil {
-				continue
-			}
-			if candidates = append(candidates, answer.candidate); len(candidates) == 1 {
-				timer.Reset(tierGrace)
-			}
-		case <-timer.C:
-			return candidates
-		case <-ctx.Done():
-			return candidates
-		}
-	}
-	return candidates
-}
-
 // slot records the start of the request at the chosen endpoint and returns its
 // slot.
 func (assigner *Assigner) slot(choice placer.Choice, request placer.Request) *slot {
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -11,6 +11,7 @@
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/locator"
 	"github.com/chivespool/chivespool/internal/reporter"
+	"github.com/chivespool/chivespool/internal/sender"
 	"github.com/chivespool/chivespool/platform"
 )
 
@@ -144,11 +145,15 @@
 	for {
 		gateway.updatePeers()
 		view := gateway.tracker.View()
-		gateway.placer.Forget(view.Names())
-		gateway.permitter.Forget(view.Names())
+		names := view.Names()
+		gateway.placer.Forget(names)
+		gateway.permitter.Forget(names)
+		gateway.pacer.Forget(names)
+		gateway.placer.SetHosts(gateway.self.Name(), view.Hosts())
 		gateway.permitter.SetHosts(time.Now(), view.Hosts())
 		maxHosts = max(maxHosts, len(view.Hosts()))
 		settings := gateway.current.Load()
+		gateway.pacer.SetRate(time.Now(), settings.ProbeRate(), len(names), max(len(view.Hosts()), 1))
 		gateway.dispatcher.SetRetryBudget(budgetShare*settings.RetryShare(), budgetShare*float64(settings.RetrySlack())/float64(maxHosts))
 		select {
 		case <-ticker.C:
@@ -158,6 +163,16 @@
 	}
 }
 
+// observers pass what endpoints state about themselves to several parts.
+type observers []sender.Observer
+
+// Record records a report with each part.
+func (observers observers) Record(now time.Time, endpoint definer.Endpoint, report definer.Report) {
+	for _, observer := range observers {
+		observer.Record(now, endpoint, report)
+	}
+}
+
 // budgetShare is the part of the fleet's retry budget that is divided among the
 // hosts; the rest is for hosts that are not known yet.
 const budgetShare = 0.8
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -39,6 +39,7 @@
 	"github.com/chivespool/chivespool/internal/loader"
 	"github.com/chivespool/chivespool/internal/logger"
 	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/pacer"
 	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
 	"github.com/chivespool/chivespool/internal/quarantiner"
@@ -87,6 +88,8 @@
 	enroller   *enroller.Enroller
 	placer     *placer.Placer
 	permitter  *permitter.Permitter
+	pacer      *pacer.Pacer
+	assigner   *assigner.Assigner
 	sender     *sender.Sender
 	dispatcher *dispatcher.Dispatcher
 	// quarantiner holds the requests that crash endpoints, which verifier finds.
@@ -167,12 +170,18 @@
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
 	gateway.permitter.SetColdRates(gateway)
-	gateway.sender.SetObserver(gateway.permitter)
+	gateway.pacer = &pacer.Pacer{}
+	gateway.sender.SetObserver(observers{gateway.permitter, gateway.pacer})
+	gateway.sender.SetCheckRecorder(gateway.pacer)
+	gateway.sender.SetRegistry(gateway.registry)
+	gateway.placer.SetConnections(gateway.sender)
 	gateway.quarantiner = quarantiner.NewGroup(&suspectStore{gateway: gateway, latest: make(map[string]connector.Entry)},
 		suspectLimits(), suspectLists)
 	gateway.verifier = verifier.New(gateway.quarantiner, gateway.sender, gateway.log)
-	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
-	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
+	gateway.assigner = assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
+	gateway.assigner.SetPacer(gateway.pacer)
+	gateway.assigner.SetRegistry(gateway.registry)
+	gateway.dispatcher = dispatcher.New(nil, gateway.assigner, gateway.sender, gateway.recorder)
 	gateway.dispatcher.SetPlanner(dispatcher.NewRoutePlanner(gateway))
 	gateway.dispatcher.SetLimits(settings.MaxAttempts(), settings.RequestTimeout(), settings.RetryShare())
 	gateway.dispatcher.SetBufferedBytes(bufferedAnswerBytes)
@@ -189,6 +198,7 @@
 		"address", gateway.self.Address(), "incarnation", gateway.self.Incarnation())
 	err := gateway.tree().Run(ctx)
 	_ = gateway.dispatcher.Close()
+	_ = gateway.assigner.Close()
 	_ = gateway.sender.Close()
 	_ = gateway.store.Close()
 	if err != nil {
--- a/internal/launcher/reloader.go
+++ b/internal/launcher/reloader.go
@@ -66,5 +66,5 @@
 		klog.ErrorS(err, "cannot set the log verbosity; keeping the previous one", "verbosity", settings.LogVerbosity())
 	}
 	klog.InfoS("reloaded", "file", gateway.file, "changed", before.Differences(settings),
-		"at-once", "[gateway] retry-slack, [routing] retry-share, [logs] verbosity; others at the next start")
+		"at-once", "[gateway] retry-slack, [gateway] probe-rate, [routing] retry-share, [logs] verbosity; others at the next start")
 }
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// orNothing also allows an empty value, which keeps the default: the platform's template
+// gives one where the platform names no bound.
+func orNothing(set check) check {
+	return func(settings *Settings, value string) error {
+		if value == "" {
+			return nil
+		}
+		return set(settings, value)
+	}
+}
+
 func duration(minimum, maximum string, field func(*Settings) *time.Duration) check {
 	return func(settings *Settings, value string) error {
 		parsed, err := time.ParseDuration(value)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -32,6 +32,7 @@
 	regions          map[string]string
 	applyBound       time.Duration
 	retrySlack       int
+	probeRate        float64
 	plainPeers       string
 
 	headerBytes       int
@@ -128,6 +129,10 @@
 // beyond the retry share.
 func (settings *Settings) RetrySlack() int { return settings.retrySlack }
 
+// ProbeRate is the number of probes for each endpoint and second that all gateways
+// together may send, or 0 for any number.
+func (settings *Settings) ProbeRate() float64 { return settings.probeRate }
+
 // PlainPeers reports whether links to peers may be without TLS.
 func (settings *Settings) PlainPeers() bool { return settings.plainPeers == "yes" }
 
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -84,6 +84,11 @@
 		doc: "Retries that all gateways together may send for a service beyond the retry share.",
 		set: number(0, 100000, func(settings *Settings) *int { return &settings.retrySlack }),
 	},
+	{
+		section: "gateway", key: "probe-rate", defaultValue: "0", allowed: "a number from 0 to 100000, or nothing",
+		doc: "Probes for each endpoint and second that all gateways together may send; 0 or nothing for any number.",
+		set: orNothing(fraction(0, 100000, func(settings *Settings) *float64 { return &settings.probeRate })),
+	},
 	{
 		section: "callers", key: "header-bytes", defaultValue: "32768", allowed: "a number from 1024 to 1048576",
 		doc: "The largest header of a caller's request, in bytes; on a gateway, a limit of the routing goes first.",
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
+	sender.meters.connect()
 	connection := &connection{Conn: conn, number: sender.dialed.Add(1), key: connectionKey(endpoint), readLimit: math.MaxInt64}
 	connection.reader = bufio.NewReaderSize(&limitedReader{connection: connection}, bufferBytes)
 	connection.lastUsed = time.Now()
--- a/internal/sender/keep_alive_test.go
+++ b/internal/sender/keep_alive_test.go
@@ -26,3 +26,25 @@
 		_ = connection.Close()
 	}
 }
+
+// TestIdlePoolKeepsNewest guards against closing the connection that has just come back
+// instead of the one that expires first, so that an at-most-once request finds none that
+// is fresh.
+func TestIdlePoolKeepsNewest(t *testing.T) {
+	sender, endpoint := newSender(t), startBackend(t, "").endpoint()
+	if sender.HasIdle(endpoint) {
+		t.Error("a pool without connections has an idle one")
+	}
+	var newest *connection
+	for range maxIdlePerEndpoint + 1 {
+		connection, err := sender.dial(t.Context(), endpoint)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sender.put(connection)
+		newest = connection
+	}
+	if !sender.HasIdle(endpoint) || len(sender.idle[newest.key]) != maxIdlePerEndpoint || sender.idle[newest.key][maxIdlePerEndpoint-1] != newest {
+		t.Errorf("the pool keeps %d connections, and not the newest", len(sender.idle[newest.key]))
+	}
+}
--- a/internal/sender/pool.go
+++ b/internal/sender/pool.go
@@ -55,16 +55,29 @@
 	return nil
 }
 
+// HasIdle reports whether an idle connection to endpoint may be reused now.
+func (idlePool *idlePool) HasIdle(endpoint definer.Endpoint) bool {
+	idlePool.mu.Lock()
+	defer idlePool.mu.Unlock()
+	list := idlePool.idle[connectionKey(endpoint)]
+	return len(list) > 0 && !list[len(list)-1].expired(time.Now())
+}
+
 // put adds a connection without a request in flight, or closes it if it has
-// expired, has unread data or exceeds the limit.
+// expired or has unread data. Beyond the limit, it closes the one that was idle for the
+// longest time, which would expire first.
 func (idlePool *idlePool) put(connection *connection) {
 	idlePool.mu.Lock()
 	defer idlePool.mu.Unlock()
 	list := idlePool.idle[connection.key]
-	if connection.expired(time.Now()) || connection.reader.Buffered() > 0 || len(list) >= maxIdlePerEndpoint {
+	if connection.expired(time.Now()) || connection.reader.Buffered() > 0 {
 		_ = connection.Close()
 		return
 	}
+	if len(list) >= maxIdlePerEndpoint {
+		_ = list[0].Close()
+		list = slices.Delete(list, 0, 1)
+	}
 	idlePool.initialize()
 	idlePool.idle[connection.key] = append(list, connection)
 }
--- a/internal/sender/probe.go
+++ b/internal/sender/probe.go
@@ -18,6 +18,7 @@
 		if report, err := sender.probe(ctx, connection, endpoint); err == nil || ctx.Err() != nil {
 			return report, err
 		}
+		sender.recordCheck()
 	}
 	connection, err := sender.dial(ctx, endpoint)
 	if err != nil {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -53,6 +53,9 @@
 	freshness time.Duration
 	// dialed counts the connections, to number them.
 	dialed atomic.Uint64
+	// checks learns of health checks that Probe was not asked for; nil for none.
+	checks CheckRecorder
+	meters meters
 	idlePool
 }
 
@@ -81,6 +84,25 @@
 // SetObserver sets the observer of what endpoints state. Call it before the first use.
 func (sender *Sender) SetObserver(observer Observer) { sender.observer = observer }
 
+// CheckRecorder learns of health checks beside those that Probe is asked for.
+type CheckRecorder interface {
+	// RecordCheck records a health check of a connection that was idle for long, or one
+	// that is repeated on another connection.
+	RecordCheck(now time.Time)
+}
+
+// SetCheckRecorder sets what learns of health checks beside those that Probe is asked
+// for. Call it before the first use.
+func (sender *Sender) SetCheckRecorder(recorder CheckRecorder) { sender.checks = recorder }
+
+// recordCheck records a health check that Probe was not asked for.
+func (sender *Sender) recordCheck() {
+	sender.meters.check()
+	if sender.checks != nil {
+		sender.checks.RecordCheck(time.Now())
+	}
+}
+
 // SetDialect replaces the default dialect, [Plain].
 func (sender *Sender) SetDialect(dialect Dialect) { sender.dialect = dialect }
 
@@ -329,6 +351,7 @@
 			_ = connection.Close()
 			continue
 		}
+		sender.recordCheck()
 		if _, err := sender.check(ctx, connection, endpoint); err == nil && !connection.expired(time.Now()) {
 			return connection, nil
 		}
