--- a/internal/throttler/fleet_test.go
+++ b/internal/throttler/fleet_test.go
@@ -38,8 +38,10 @@
 	dead              bool
 	startAt, resumeAt time.Time
 	startedAt         time.Time
-	renewedAt         time.Time
-	nextTick          time.Time
+	// known is true once the process has known the store.
+	known     bool
+	renewedAt time.Time
+	nextTick  time.Time
 }
 
 // message is a request for a permit on its way to the owner, or the reply.
@@ -125,7 +127,7 @@
 		regions = append(regions, fmt.Sprintf("region-%d", region))
 	}
 	isFirst := !node.startedAt.IsZero() && node.startedAt.Equal(time.Unix(0, 0))
-	node.dead, node.startedAt, node.view, node.nextTick = false, fleet.now, snapshot{}, fleet.now
+	node.dead, node.startedAt, node.view, node.nextTick, node.known = false, fleet.now, snapshot{}, fleet.now, false
 	node.throttler = New(node.host, regions, testBound, fleet.now, discardJournal{})
 	if isFirst {
 		node.throttler.SetFirstStart()
@@ -157,6 +159,14 @@
 		node.view = peer.view
 	}
 	node.throttler.Update(fleet.now, node.view.at, node.view.members)
+	if !node.view.at.IsZero() && !node.known {
+		node.known = true
+		for _, member := range node.view.members {
+			if member.host.Name() == name {
+				node.throttler.Adopt(member.registration)
+			}
+		}
+	}
 	_, isRegistered := fleet.registered[name]
 	if !fleet.connected(name, "") || fleet.now.Sub(node.renewedAt) < 2500*time.Millisecond && isRegistered {
 		return
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -76,6 +76,9 @@
 	// fallbackFrom is the time from which fallback limits apply, in nanoseconds since the
 	// start of the process; 0 if the host has never known a complete list.
 	fallbackFrom atomic.Int64
+	// adopted is the registration of an earlier process that outlived the restart; 0 for
+	// none.
+	adopted atomic.Uint64
 	// granting is true while the host grants permits of shares. Only Update uses it.
 	granting bool
 	// peers holds what is known of other hosts by name. Only Update uses it.
