--- a/internal/launcher/permit_asker.go
+++ b/internal/launcher/permit_asker.go
@@ -100,7 +100,7 @@
 	}
 	return &encoder.PermitAsk{
 		Account: key.account, Share: uint32(key.share), Count: uint32(sum.Count()), Debt: uint32(sum.Debt()),
-		Vouched: sum.Vouched(),
+		Vouched: sum.Vouched(), Assumed: sum.Assumed(),
 	}
 }
 
--- a/internal/launcher/permits.go
+++ b/internal/launcher/permits.go
@@ -187,7 +187,7 @@
 		answer := throttler.Denial()
 		if account, ok := permitClient.accounts.AccountNamed(ask.GetAccount()); ok && account.Rate() > 0 {
 			count, debt := min(ask.GetCount(), maxPermitCount), min(ask.GetDebt(), maxPermitCount)
-			asked := throttler.NewAsk(int(count), int(debt)).WithVouched(ask.GetVouched())
+			asked := throttler.NewAsk(int(count), int(debt)).WithVouched(ask.GetVouched()).WithAssumed(ask.GetAssumed())
 			answer = permitClient.throttler.Grant(now, account, int(ask.GetShare()), asked)
 		}
 		permitClient.meters.served.Inc(int64(answer.Granted()))
--- a/internal/throttler/search.go
+++ b/internal/throttler/search.go
@@ -59,6 +59,9 @@
 	// vouched is the owner's registration if the asking host has known for the takeover
 	// delay that the owner ranks first by it, or 0.
 	vouched uint64
+	// assumed is the owner's registration if the owner has ranked first by it as long as
+	// the asking host, which has restarted, has known the fleet; 0 otherwise.
+	assumed uint64
 }
 
 // NewAsk returns an ask for count permits, with debt further attempts.
@@ -71,9 +74,19 @@
 	return ask
 }
 
+// WithAssumed returns a copy that says that the owner has ranked first by a registration as
+// long as the asking host has known the fleet; 0 if that is not so.
+func (ask Ask) WithAssumed(registration uint64) Ask {
+	ask.assumed = registration
+	return ask
+}
+
 // Merge returns an ask for the permits of both. Both are of one host and share.
 func (ask Ask) Merge(other Ask) Ask {
-	return Ask{count: ask.count + other.count, debt: ask.debt + other.debt, vouched: max(ask.vouched, other.vouched)}
+	return Ask{
+		count: ask.count + other.count, debt: ask.debt + other.debt,
+		vouched: max(ask.vouched, other.vouched), assumed: max(ask.assumed, other.assumed),
+	}
 }
 
 // Count returns the number of permits that are asked for.
@@ -86,6 +99,10 @@
 // delay, or 0.
 func (ask Ask) Vouched() uint64 { return ask.vouched }
 
+// Assumed returns the registration by which the owner has ranked first as long as the asking
+// host has known the fleet, or 0.
+func (ask Ask) Assumed() uint64 { return ask.assumed }
+
 // Answer is the answer of an owner to the hosts that ask for permits of a share.
 type Answer struct {
 	granted int
@@ -154,9 +171,7 @@
 		default:
 			ask := Ask{count: 1, debt: ledger.debt}
 			ledger.debt = 0
-			if throttler.settled(now, roster, share.since) && now.Sub(roster.checkedAt) <= throttler.bound {
-				ask.vouched = share.registration
-			}
+			throttler.vouch(now, roster, share, &ask)
 			return Step{verdict: AskOwner, owner: share.owner.Name(), share: index, ask: ask}
 		}
 	}
@@ -166,10 +181,21 @@
 	return Step{verdict: Refused, wait: search.refusalWait(now)}
 }
 
+// vouch adds to ask what this host knows of the owner of share.
+func (throttler *Throttler) vouch(now time.Time, roster *roster, share *share, ask *Ask) {
+	switch {
+	case now.Sub(roster.checkedAt) > throttler.bound:
+	case throttler.settled(now, roster, share.since):
+		ask.vouched = share.registration
+	case roster.isFirstKnown(share.since):
+		ask.assumed = share.registration
+	}
+}
+
 // takeOwn takes a permit of a share that this host owns; its ledger's mu is held. If its
 // view is older than the bound, it may be the only host that takes it for the owner.
 func (throttler *Throttler) takeOwn(now time.Time, roster *roster, search *Search, share *share) bool {
-	if !throttler.settled(now, roster, share.since) || now.Sub(roster.checkedAt) > throttler.bound {
+	if now.Sub(roster.checkedAt) > throttler.bound || !throttler.mayGrant(now, roster, share, Ask{assumed: share.registration}) {
 		search.unanswered = true
 		return false
 	}
