emulator, platform: the emulated store can be restored from an older copy

Cause: the platform's store may come back from a copy some seconds old, with the next era in the header Store-Era. The emulated store could not do that.

--- a/internal/emulator/keyspace.go
+++ b/internal/emulator/keyspace.go
@@ -15,11 +15,11 @@
 type Keyspace struct {
 	// mu guards all fields below.
 	mu sync.Mutex
-	// revision is the revision of the last change; it never decreases.
+	// revision is the revision of the last change; it decreases only with a new era.
 	revision uint64
 	pairs    map[string]Pair
 	leases   map[uint64]keyLease
-	// lastLease is the number of the newest lease; numbers are never reused.
+	// lastLease is the number of the newest lease; numbers are reused only in a new era.
 	lastLease uint64
 	// history holds the changes after compacted, in order.
 	history []Pair
@@ -29,6 +29,8 @@
 	changed chan struct{}
 	// paused is true while leases do not expire.
 	paused bool
+	// era counts the restores; it only rises.
+	era uint64
 }
 
 // Pair is a key with its value, or the removal of a key.
@@ -185,8 +187,8 @@
 
 // Changes returns the changes under prefix after a revision, in order, and the
 // revision up to which they are complete. It reports false if some of them have
-// been dropped from the history. The channel changed is closed at the next change
-// of any key.
+// been dropped from the history, or if the keyspace does not have that revision. The
+// channel changed is closed at the next change of any key and at a restore.
 func (keyspace *Keyspace) Changes(prefix string, after uint64) (changes []Pair, revision uint64, changed <-chan struct{}, ok bool) {
 	keyspace.mu.Lock()
 	defer keyspace.mu.Unlock()
@@ -194,7 +196,7 @@
 	if keyspace.changed == nil {
 		keyspace.changed = make(chan struct{})
 	}
-	if after < keyspace.compacted {
+	if after < keyspace.compacted || after > keyspace.revision {
 		return nil, keyspace.revision, nil, false
 	}
 	for _, change := range keyspace.history {
--- a/internal/emulator/keyspace_test.go
+++ b/internal/emulator/keyspace_test.go
@@ -40,6 +40,40 @@
 	})
 }
 
+// TestRestore checks that a keyspace that is restored has lost the later writes and
+// leases, reuses their numbers, and refuses a watch from a revision that it does not have.
+func TestRestore(t *testing.T) {
+	var keyspace Keyspace
+	kept := keyspace.Grant(time.Minute)
+	_, first := write(&keyspace, "a", kept)
+	snapshot := keyspace.Snapshot()
+	lost := keyspace.Grant(time.Minute)
+	write(&keyspace, "b", lost)
+	_, last := write(&keyspace, "a", 0)
+	_, _, changed, _ := keyspace.Changes("", last)
+	keyspace.Restore(snapshot)
+	select {
+	case <-changed:
+	default:
+		t.Error("a waiting watch was not woken")
+	}
+	if _, _, _, ok := keyspace.Changes("", last); ok {
+		t.Error("a watch from a lost revision was accepted")
+	}
+	if pair, revision := keyspace.Pair("a"); pair.Revision() != first || pair.Lease() != kept || revision != first {
+		t.Errorf("restored %+v at %d, want the pair of %d", pair, revision, first)
+	}
+	if _, ok := keyspace.Renew(lost); ok {
+		t.Error("a lost lease was renewed")
+	}
+	if again := keyspace.Grant(time.Minute); again != lost || keyspace.Era() != 1 {
+		t.Errorf("granted %d in era %d, want %d in era 1", again, keyspace.Era(), lost)
+	}
+	if _, revision := write(&keyspace, "c", 0); revision != first+1 {
+		t.Errorf("wrote at revision %d, want %d again", revision, first+1)
+	}
+}
+
 // TestCommitIsAtomic checks that a commit changes nothing if one key is at
 // another revision than expected.
 func TestCommitIsAtomic(t *testing.T) {
