--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -154,17 +154,33 @@
 	return NewError(kind, call.operation, cause)
 }
 
+// Reply is the platform's reply to a call.
+type Reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Status returns the HTTP status of the reply.
+func (reply Reply) Status() int { return reply.status }
+
+// Header returns the first value of a header, or "" if the reply does not have it.
+func (reply Reply) Header(name string) string { return reply.header.Get(name) }
+
+// Body returns the body of the reply.
+func (reply Reply) Body() []byte { return reply.body }
+
 // do sends call and decodes a successful reply into answer. Any failure is a
 // [CallError].
 func (caller *Caller) do(ctx context.Context, call Call, answer any) error {
-	return caller.Exchange(ctx, call, func(status int, body []byte) error {
-		return decode(call, status, body, answer)
+	return caller.Exchange(ctx, call, func(reply Reply) error {
+		return decode(call, reply.status, reply.body, answer)
 	})
 }
 
-// Exchange sends call, passes the status and the body of the reply to read, and
-// returns the error of read. A call without a reply fails with a [CallError].
-func (caller *Caller) Exchange(ctx context.Context, call Call, read func(status int, body []byte) error) error {
+// Exchange sends call, passes the reply to read, and returns the error of read. A call
+// without a reply fails with a [CallError].
+func (caller *Caller) Exchange(ctx context.Context, call Call, read func(reply Reply) error) error {
 	err := caller.exchange(ctx, call, read)
 	var failure *CallError
 	failed := errors.As(err, &failure) && (failure.kind == Unknown || failure.kind == Unavailable)
@@ -172,7 +188,7 @@
 	return err
 }
 
-func (caller *Caller) exchange(ctx context.Context, call Call, read func(status int, body []byte) error) error {
+func (caller *Caller) exchange(ctx context.Context, call Call, read func(reply Reply) error) error {
 	transfer := newTransfer(ctx, cmp.Or(call.timeout, caller.timeout)+call.wait)
 	defer transfer.end()
 	ctx = transfer.ctx
@@ -196,7 +212,7 @@
 	if err != nil {
 		return call.LostReplyError(err)
 	}
-	return read(response.StatusCode, data)
+	return read(Reply{status: response.StatusCode, header: response.Header, body: data})
 }
 
 func (caller *Caller) newRequest(ctx context.Context, call Call) (*http.Request, error) {
--- a/internal/connector/call_test.go
+++ b/internal/connector/call_test.go
@@ -86,8 +86,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				caller := NewCaller("http://store", "store", WithTimeout(timeout), WithTransport(&test.reply))
 				start, received := time.Now(), -1
-				err := caller.Exchange(t.Context(), NewCall("get", http.MethodGet, "/"), func(_ int, body []byte) error {
-					received = len(body)
+				err := caller.Exchange(t.Context(), NewCall("get", http.MethodGet, "/"), func(reply Reply) error {
+					received = len(reply.Body())
 					return nil
 				})
 				if received != test.bytes {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -8,13 +8,20 @@
 // small interfaces that they need; [Store] and [HostList] satisfy them.
 package connector
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
 
 // Entry is the value of a key in the store.
 type Entry struct {
 	data []byte
-	// version rises with each write of the key; 0 means that the key doesn't exist.
+	// version rises with each write of the key in an era; 0 means that the key doesn't
+	// exist.
 	version uint64
+	// era is the era of the store that version belongs to; 0 for a store without eras.
+	era uint64
 }
 
 // NewEntry returns an entry.
@@ -26,6 +33,15 @@
 // Version returns the version, or 0 if the key doesn't exist.
 func (entry Entry) Version() uint64 { return entry.version }
 
+// WithEra returns a copy whose version belongs to an era of the store.
+func (entry Entry) WithEra(era uint64) Entry {
+	entry.era = era
+	return entry
+}
+
+// Point returns the version with its era, by which entries of a key can be compared.
+func (entry Entry) Point() definer.Point { return definer.NewPoint(entry.era, entry.version) }
+
 // ErrorKind classifies failed calls by what the caller may conclude.
 type ErrorKind int
 
--- a/internal/encoder/packer.go
+++ b/internal/encoder/packer.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/tracker"
 )
 
@@ -18,22 +19,22 @@
 	cached      []byte
 }
 
-// revisionRange identifies the items of an update: the changes between two
-// revisions, or a complete copy at to.
+// revisionRange identifies the items of an update: the changes between two points of an
+// era, or a complete copy at to.
 type revisionRange struct {
-	from, to uint64
+	from, to definer.Point
 	complete bool
 }
 
-// Pack returns the encoded items of update for a peer whose copy is at revision.
+// Pack returns the encoded items of update for a peer whose copy is at a point.
 // Callers must not modify the result.
-func (packer *Packer) Pack(revision uint64, update tracker.Update) ([]byte, error) {
+func (packer *Packer) Pack(from definer.Point, update tracker.Update) ([]byte, error) {
 	if len(update.Items()) == 0 {
 		return nil, nil
 	}
-	requested := revisionRange{from: revision, to: update.Revision(), complete: update.Complete()}
+	requested := revisionRange{from: from, to: update.Point(), complete: update.Complete()}
 	if requested.complete {
-		requested.from = 0
+		requested.from = definer.Point{}
 	}
 	packer.mu.Lock()
 	defer packer.mu.Unlock()
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -2,7 +2,9 @@
 // the other hosts find it: one key under a lease. Package launcher runs it.
 //
 // The store may drop the key or end the lease while no call fails; the enroller
-// notices that by the host's own copy of the store, and registers the host again.
+// notices that by the host's own copy of the store, and registers the host again. A
+// store that is restored from an older copy may have lost the registration of every
+// host; the hosts then spread their writes over eraSpread.
 // The package starts no goroutines, calls the store through an interface, and
 // uses timers.
 package enroller
@@ -15,6 +17,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // Times of a registration.
@@ -32,27 +35,37 @@
 	retryInterval = 1200 * time.Millisecond
 	// leaveTimeout bounds the call that ends a registration.
 	leaveTimeout = 500 * time.Millisecond
+	// eraSpread is the time over which hosts spread the writes of registrations that
+	// were lost with an era. A registration takes two calls, so that these come no more
+	// often than the renewals do. Other hosts keep a lost entry for longer than
+	// renewInterval, eraSpread and retryInterval together.
+	eraSpread = 2 * renewInterval
 )
 
 // Store is the store that holds the registration.
 type Store interface {
-	Grant(ctx context.Context, ttl time.Duration) (lease uint64, granted time.Duration, err error)
+	Grant(ctx context.Context, ttl time.Duration) (definer.Lease, error)
 	Renew(ctx context.Context, lease uint64) error
 	Release(ctx context.Context, lease uint64) error
-	// Register writes value to key under lease, and overwrites any other value.
-	Register(ctx context.Context, key string, value []byte, lease uint64) (revision uint64, err error)
+	// Register writes value to key under lease, and overwrites any other value. It
+	// returns the point of the write.
+	Register(ctx context.Context, key string, value []byte, lease uint64) (definer.Point, error)
+	// Era returns the highest era in any answer of the store.
+	Era() uint64
 }
 
 // View is the host's own copy of the store.
 type View interface {
-	// Registered returns the lease and the revision of key, and whether it holds
-	// value.
-	Registered(key string, value []byte) (lease, revision uint64, ok bool)
+	// Registered returns the lease of key and the point at which it was written, and
+	// whether it holds value.
+	Registered(key string, value []byte) (lease definer.Lease, written definer.Point, ok bool)
 	// Ready returns a channel that is closed once the copy is known to be complete.
 	Ready() <-chan struct{}
-	// Missing reports whether the copy is newer than revision and does not hold the
-	// host's registration.
-	Missing(revision uint64) bool
+	// Missing reports whether the copy is at a later point of the era than written and
+	// does not hold key.
+	Missing(key string, written definer.Point) bool
+	// Era returns the era of the copy; it only rises.
+	Era() uint64
 }
 
 // Journal records events of the registration.
@@ -69,10 +82,11 @@
 	value   []byte
 	// mu guards the fields below.
 	mu sync.Mutex
-	// lease is the lease of the key; 0 for none.
-	lease uint64
-	// revision is the revision at which the key was written; 0 for not written.
-	revision uint64
+	// lease is the lease of the key. Its era is the last one in which it is known to
+	// exist: in a later one it may be lost, and its number another host's.
+	lease definer.Lease
+	// written is the point at which the key was written; zero for not written.
+	written definer.Point
 	// left is true once Leave has been called.
 	left bool
 	// leaseEnded is true once a lease has ended: the copy of the store may still
@@ -89,12 +103,7 @@
 func (enroller *Enroller) Run(ctx context.Context) error {
 	enroller.awaitView(ctx)
 	for ctx.Err() == nil {
-		wait := renewInterval
-		if err := enroller.maintain(ctx); err != nil {
-			wait = retryInterval
-		}
-		// The jitter keeps hosts that started together from calling at one time.
-		timer := time.NewTimer(wait - rand.N(wait/8))
+		timer := time.NewTimer(enroller.nextWait(enroller.maintain(ctx)))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -104,6 +113,23 @@
 	return nil
 }
 
+// errLostWithEra is the result of maintain where the store has lost the registration by
+// coming back from an older copy.
+var errLostWithEra = errors.New("registration is lost with the store's era")
+
+// nextWait returns the wait after a call of maintain that returned err.
+func (enroller *Enroller) nextWait(err error) time.Duration {
+	wait := renewInterval
+	switch {
+	case errors.Is(err, errLostWithEra):
+		return rand.N(eraSpread)
+	case err != nil:
+		wait = retryInterval
+	}
+	// The jitter keeps hosts that started together from calling at one time.
+	return wait - rand.N(wait/8)
+}
+
 // awaitView waits until the copy of the store is complete, for viewTimeout at
 // most.
 func (enroller *Enroller) awaitView(ctx context.Context) {
@@ -118,83 +144,110 @@
 
 // maintain renews the lease or restores the registration, as needed.
 func (enroller *Enroller) maintain(ctx context.Context) error {
-	lease, revision, left := enroller.registration()
+	lease, written, left := enroller.registration()
 	if left {
 		return nil
 	}
-	if revision > 0 && enroller.view.Missing(revision) {
-		enroller.journal.Change("registration is missing in the store; registering again", "key", enroller.key, "revision", revision)
-		enroller.setRegistration(lease, 0)
-		revision = 0
+	if lease.Number() > 0 && enroller.view.Era() > lease.Era() {
+		if lease, written = enroller.adopt(); lease.Number() == 0 {
+			return enroller.lost("copy")
+		}
+	}
+	if written.Revision() > 0 && enroller.view.Missing(enroller.key, written) {
+		enroller.journal.Change("registration is missing in the store; registering again", "key", enroller.key, "revision", written.Revision())
+		written = definer.Point{}
+		enroller.setRegistration(lease, written)
 	}
-	if lease == 0 && !enroller.leaseEnded {
-		lease, revision = enroller.adopt()
+	if lease.Number() == 0 && !enroller.leaseEnded {
+		lease, written = enroller.adopt()
 	}
-	if lease > 0 {
-		if err := enroller.store.Renew(ctx, lease); err != nil {
-			return enroller.failed("renew", err)
+	if lease.Number() > 0 {
+		if err := enroller.store.Renew(ctx, lease.Number()); err != nil {
+			return enroller.failed("renew", lease, err)
 		}
 	}
-	if lease == 0 {
-		granted, _, err := enroller.store.Grant(ctx, leaseTime)
+	if lease.Number() == 0 {
+		granted, err := enroller.store.Grant(ctx, leaseTime)
 		if err != nil {
-			return enroller.failed("grant", err)
+			return enroller.failed("grant", lease, err)
 		}
 		lease = granted
-		enroller.setRegistration(lease, 0)
+		enroller.setRegistration(lease, definer.Point{})
 	}
-	if revision > 0 {
+	if written.Revision() > 0 {
 		return nil
 	}
-	revision, err := enroller.store.Register(ctx, enroller.key, enroller.value, lease)
-	if err != nil {
-		return enroller.failed("register", err)
+	return enroller.register(ctx, lease)
+}
+
+// register writes the key under lease.
+func (enroller *Enroller) register(ctx context.Context, lease definer.Lease) error {
+	written, err := enroller.store.Register(ctx, enroller.key, enroller.value, lease.Number())
+	switch {
+	case err != nil:
+		return enroller.failed("register", lease, err)
+	case written.Era() > lease.Era():
+		return enroller.lost("register") // The lease may be another host's.
 	}
-	enroller.setRegistration(lease, revision)
-	enroller.journal.Change("registered", "key", enroller.key, "revision", revision, "lease", lease)
+	enroller.setRegistration(lease, written)
+	enroller.journal.Change("registered", "key", enroller.key, "era", written.Era(), "revision", written.Revision(), "lease", lease.Number())
 	return nil
 }
 
-// adopt takes over the registration of an earlier start of the host, so that its
-// lease is renewed and no new one is needed.
-func (enroller *Enroller) adopt() (lease, revision uint64) {
-	lease, revision, ok := enroller.view.Registered(enroller.key, enroller.value)
-	if !ok || lease == 0 {
-		return 0, 0
+// lost drops a registration that the store lost with an era, as a step showed.
+func (enroller *Enroller) lost(step string) error {
+	enroller.setRegistration(definer.Lease{}, definer.Point{})
+	enroller.leaseEnded = true
+	enroller.journal.Change("registration is lost with the store's era; registering again", "key", enroller.key,
+		"step", step, "era", enroller.store.Era(), "within", eraSpread)
+	return errLostWithEra
+}
+
+// adopt takes over the registration in the host's copy of the store, of an earlier start
+// of the host or from before a new era, so that its lease is renewed and no new one is
+// needed.
+func (enroller *Enroller) adopt() (definer.Lease, definer.Point) {
+	lease, written, ok := enroller.view.Registered(enroller.key, enroller.value)
+	if !ok || lease.Number() == 0 {
+		return definer.Lease{}, definer.Point{}
 	}
-	enroller.journal.Change("adopted the registration of an earlier start", "key", enroller.key, "revision", revision, "lease", lease)
-	enroller.setRegistration(lease, revision)
-	return lease, revision
+	enroller.journal.Change("adopted the registration of an earlier start", "key", enroller.key,
+		"era", written.Era(), "revision", written.Revision(), "lease", lease.Number())
+	enroller.setRegistration(lease, written)
+	return lease, written
 }
 
-// failed logs and returns the error of a call. It drops the lease if the error
-// says that the lease has ended.
-func (enroller *Enroller) failed(step string, err error) error {
+// failed logs and returns the error of a call under lease. It drops the lease if the
+// error says that the lease has ended.
+func (enroller *Enroller) failed(step string, lease definer.Lease, err error) error {
 	var failure *connector.CallError
 	if errors.As(err, &failure) && failure.Kind() == connector.LeaseExpired {
-		enroller.setRegistration(0, 0)
+		if enroller.store.Era() > lease.Era() {
+			return enroller.lost(step)
+		}
+		enroller.setRegistration(definer.Lease{}, definer.Point{})
 		enroller.leaseEnded = true
 	}
 	enroller.journal.Change("registration failed", "step", step, "error", err)
 	return err
 }
 
-func (enroller *Enroller) registration() (lease, revision uint64, left bool) {
+func (enroller *Enroller) registration() (lease definer.Lease, written definer.Point, left bool) {
 	enroller.mu.Lock()
 	defer enroller.mu.Unlock()
-	return enroller.lease, enroller.revision, enroller.left
+	return enroller.lease, enroller.written, enroller.left
 }
 
-func (enroller *Enroller) setRegistration(lease, revision uint64) {
+func (enroller *Enroller) setRegistration(lease definer.Lease, written definer.Point) {
 	enroller.mu.Lock()
 	defer enroller.mu.Unlock()
-	enroller.lease, enroller.revision = lease, revision
+	enroller.lease, enroller.written = lease, written
 }
 
 // Leave ends the registration, so that other hosts stop listing the host.
 func (enroller *Enroller) Leave() {
 	enroller.mu.Lock()
-	lease := enroller.lease
+	lease := enroller.lease.Number()
 	enroller.left = true
 	enroller.mu.Unlock()
 	if lease == 0 {
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // fakeStore is a store with one key, and also the host's copy of it.
 type fakeStore struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	value    []byte
 	// keyLease is the lease of the key; expiry is the end of each lease.
@@ -24,13 +26,13 @@
 	loseReply bool
 }
 
-func (fakeStore *fakeStore) Grant(_ context.Context, ttl time.Duration) (uint64, time.Duration, error) {
+func (fakeStore *fakeStore) Grant(_ context.Context, ttl time.Duration) (definer.Lease, error) {
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
 	fakeStore.calls++
 	lease := uint64(len(fakeStore.expiry) + 1)
 	fakeStore.expiry[lease] = time.Now().Add(ttl)
-	return lease, ttl, nil
+	return definer.NewLease(lease, fakeStore.era, ttl), nil
 }
 
 func (fakeStore *fakeStore) Renew(_ context.Context, lease uint64) error {
@@ -50,7 +52,7 @@
 	return nil
 }
 
-func (fakeStore *fakeStore) Register(_ context.Context, _ string, value []byte, lease uint64) (uint64, error) {
+func (fakeStore *fakeStore) Register(_ context.Context, _ string, value []byte, lease uint64) (definer.Point, error) {
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
 	fakeStore.calls++
@@ -58,9 +60,9 @@
 	fakeStore.value, fakeStore.keyLease = value, lease
 	if fakeStore.loseReply {
 		fakeStore.loseReply = false
-		return 0, connector.NewError(connector.Unknown, "write", nil)
+		return definer.Point{}, connector.NewError(connector.Unknown, "write", nil)
 	}
-	return fakeStore.revision, nil
+	return definer.NewPoint(fakeStore.era, fakeStore.revision), nil
 }
 
 // isRegistered reports whether the key exists under a valid lease; mu is held.
@@ -68,16 +70,23 @@
 	return fakeStore.value != nil && fakeStore.expiry[fakeStore.keyLease].After(time.Now())
 }
 
-func (fakeStore *fakeStore) Missing(revision uint64) bool {
+func (fakeStore *fakeStore) Missing(_ string, written definer.Point) bool {
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
-	return fakeStore.revision >= revision && !fakeStore.isRegistered()
+	return fakeStore.era == written.Era() && fakeStore.revision >= written.Revision() && !fakeStore.isRegistered()
 }
 
-func (fakeStore *fakeStore) Registered(_ string, value []byte) (lease, revision uint64, ok bool) {
+func (fakeStore *fakeStore) Registered(_ string, value []byte) (lease definer.Lease, written definer.Point, ok bool) {
 	fakeStore.mu.Lock()
 	defer fakeStore.mu.Unlock()
-	return fakeStore.keyLease, fakeStore.revision, fakeStore.isRegistered() && bytes.Equal(value, fakeStore.value)
+	ok = fakeStore.isRegistered() && bytes.Equal(value, fakeStore.value)
+	return definer.NewLease(fakeStore.keyLease, fakeStore.era, leaseTime), definer.NewPoint(fakeStore.era, fakeStore.revision), ok
+}
+
+func (fakeStore *fakeStore) Era() uint64 {
+	fakeStore.mu.Lock()
+	defer fakeStore.mu.Unlock()
+	return fakeStore.era
 }
 
 func (*fakeStore) Ready() <-chan struct{} {
@@ -156,3 +165,51 @@
 		}
 	})
 }
+
+// TestRegistrationsLostWithEra restores the store of 100 hosts that started together from
+// a copy without their registrations. Each must be registered again in time, none under a
+// lease number that now is another client's, and their calls must be spread: all hosts
+// wrote within one retry interval.
+func TestRegistrationsLostWithEra(t *testing.T) {
+	const hosts, window = 100, 250 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		stores := make([]*fakeStore, hosts)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wait sync.WaitGroup
+		calls := func() (sum int) {
+			for _, store := range stores {
+				store.mu.Lock()
+				sum += store.calls
+				store.mu.Unlock()
+			}
+			return sum
+		}
+		for index := range stores {
+			store := &fakeStore{expiry: make(map[uint64]time.Time)}
+			stores[index] = store
+			wait.Go(func() { _ = New(store, store, discardJournal{}, "hosts/a", []byte("a")).Run(ctx) })
+		}
+		time.Sleep(leaseTime)
+		for index, store := range stores {
+			store.mu.Lock()
+			store.era, store.revision, store.value = 1, 0, nil
+			store.expiry[store.keyLease] = time.Now().Add(time.Hour * time.Duration(index%2)) // Lost, or another client's.
+			store.mu.Unlock()
+		}
+		for passed := time.Duration(0); passed < renewInterval+eraSpread; passed += window {
+			before := calls()
+			time.Sleep(window)
+			if count, most := calls()-before, 3*2*hosts*int(window)/int(eraSpread); count > most {
+				t.Errorf("%d calls within %v, want at most %d", count, window, most)
+			}
+		}
+		for _, store := range stores {
+			store.checkRegistered(t, true, "after the spread")
+			if store.keyLease == 1 {
+				t.Error("a host is registered under a lease number of the earlier era")
+			}
+		}
+		cancel()
+		wait.Wait()
+	})
+}
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -30,38 +30,44 @@
 	return gateway.tracker.View().Table().ColdRate(service)
 }
 
-// Freshness returns the age and the revision of the host's local view.
+// Freshness returns the age and the revision of the host's local view. The revision
+// decreases where the era rises.
 func (gateway *Gateway) Freshness() (age time.Duration, revision uint64) {
-	return gateway.tracker.Age(gateway.clock.Now()), gateway.tracker.View().Revision()
+	return gateway.tracker.Age(gateway.clock.Now()), gateway.tracker.View().Point().Revision()
 }
 
 // LocalView returns a report of the host's local view and its age.
 func (gateway *Gateway) LocalView() reporter.View {
 	view := gateway.tracker.View()
 	return reporter.View{
-		Host: gateway.self.Name(), RoutingVersion: view.Table().Version(), Revision: view.Revision(),
+		Host: gateway.self.Name(), RoutingVersion: view.Table().Version(),
+		Era: view.Point().Era(), Revision: view.Point().Revision(),
 		AgeMs: gateway.tracker.Age(gateway.clock.Now()).Milliseconds(), Hosts: len(view.Hosts()), Endpoints: len(view.Names()),
 	}
 }
 
-// Missing reports whether the local view is newer than revision and does not
-// hold the host's registration.
-func (gateway *Gateway) Missing(revision uint64) bool {
-	view := gateway.tracker.View()
-	return view.Revision() > revision && !view.Has(gateway.self.Name())
+// Missing reports whether the host's copy of the store is at a later point of the era
+// than written and does not hold key.
+func (gateway *Gateway) Missing(key string, written definer.Point) bool {
+	_, copied, ok := gateway.tracker.Item(key)
+	return !ok && copied.Era() == written.Era() && copied.After(written)
 }
 
+// Era returns the era of the host's copy of the store.
+func (gateway *Gateway) Era() uint64 { return gateway.tracker.View().Point().Era() }
+
 // Ready returns a channel that is closed once the host's copy of the store is
 // known to be complete.
 func (gateway *Gateway) Ready() <-chan struct{} { return gateway.tracker.Ready() }
 
-// Registered returns the lease and the revision of key if it holds value.
-func (gateway *Gateway) Registered(key string, value []byte) (lease, revision uint64, ok bool) {
-	item, ok := gateway.tracker.Item(key)
+// Registered returns the lease of key and the point at which it was written, if it holds
+// value.
+func (gateway *Gateway) Registered(key string, value []byte) (lease definer.Lease, written definer.Point, ok bool) {
+	item, copied, ok := gateway.tracker.Item(key)
 	if !ok || !bytes.Equal(item.Value(), value) {
-		return 0, 0, false
+		return definer.Lease{}, definer.Point{}, false
 	}
-	return item.Lease(), item.Revision(), true
+	return definer.NewLease(item.Lease(), copied.Era(), 0), definer.NewPoint(copied.Era(), item.Revision()), true
 }
 
 // ReadinessProblems returns the reasons why the host is not ready, with the remedies.
@@ -114,11 +120,11 @@
 	return locator.Near(hosts, place, gateway.tracker.View().Table().HostRegions(name)), holdTime
 }
 
-// updatePeers sets the messenger's peers to the hosts of the view, if the view's
-// revision has changed.
+// updatePeers sets the messenger's peers to the hosts of the view, if the view has
+// changed.
 func (gateway *Gateway) updatePeers() {
 	view := gateway.tracker.View()
-	if gateway.peersRevision.Swap(view.Revision()) != view.Revision() {
+	if gateway.peersView.Swap(view) != view {
 		gateway.messenger.SetPeers(view.Hosts())
 	}
 }
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -94,8 +94,9 @@
 	verifier    *verifier.Verifier
 	// stopper limits requests during a planned stop.
 	stopper *stopper.Stopper
-	// peersRevision is the revision of the view that the messenger's peers are from.
-	peersRevision atomic.Uint64
+	// peersView is the view that the messenger's peers are from. Hosts may also change
+	// between views of one revision.
+	peersView atomic.Pointer[tracker.View]
 }
 
 // New returns a gateway with the settings in file that logs to output and reads the
--- a/internal/launcher/peers.go
+++ b/internal/launcher/peers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/encoder"
 	"github.com/chivespool/chivespool/internal/messenger"
 	"github.com/chivespool/chivespool/internal/tracker"
@@ -25,22 +26,23 @@
 	if fetch == nil {
 		return nil, messenger.NewError(messenger.Refused, "unknown-request", errUnknownRequest)
 	}
-	update := peers.gateway.tracker.Serve(ctx, fetch.GetRevision(), fetch.GetProof())
-	items, err := peers.packer.Pack(fetch.GetRevision(), update)
+	after := definer.NewPoint(fetch.GetEra(), fetch.GetRevision())
+	update := peers.gateway.tracker.Serve(ctx, after, fetch.GetProof())
+	items, err := peers.packer.Pack(after, update)
 	if err != nil {
 		return nil, err
 	}
 	body := &encoder.CopyNews{
-		Revision: update.Revision(), Age: int64(update.Age()), Held: int64(update.Held()),
+		Era: update.Point().Era(), Revision: update.Point().Revision(), Age: int64(update.Age()), Held: int64(update.Held()),
 		Proof: update.Checks(), Whole: update.Complete(), Items: items,
 	}
 	return &encoder.Reply{Body: &encoder.Reply_CopyNews{CopyNews: body}}, nil
 }
 
-// Fetch asks host for the changes of the store after revision.
-func (peers *peers) Fetch(ctx context.Context, host string, revision, proof uint64) (tracker.Update, error) {
+// Fetch asks host for the changes of the store after a point.
+func (peers *peers) Fetch(ctx context.Context, host string, after definer.Point, proof uint64) (tracker.Update, error) {
 	peers.gateway.updatePeers()
-	body := &encoder.Request_CopyFetch{CopyFetch: &encoder.CopyFetch{Revision: revision, Proof: proof}}
+	body := &encoder.Request_CopyFetch{CopyFetch: &encoder.CopyFetch{Era: after.Era(), Revision: after.Revision(), Proof: proof}}
 	reply, err := peers.gateway.messenger.Call(ctx, host, &encoder.Request{Body: body})
 	if err != nil {
 		return tracker.Update{}, err
@@ -50,6 +52,7 @@
 	if err != nil {
 		return tracker.Update{}, err
 	}
-	received := tracker.NewUpdate(update.GetRevision(), time.Duration(update.GetAge()), update.GetProof(), update.GetWhole(), items)
+	point := definer.NewPoint(update.GetEra(), update.GetRevision())
+	received := tracker.NewUpdate(point, time.Duration(update.GetAge()), update.GetProof(), update.GetWhole(), items)
 	return received.WithHeld(time.Duration(update.GetHeld())), nil
 }
--- a/internal/launcher/suspects.go
+++ b/internal/launcher/suspects.go
@@ -39,42 +39,52 @@
 	gateway *Gateway
 	// mu guards latest.
 	mu sync.Mutex
-	// latest holds the entry of each key that the store itself returned last.
+	// latest holds the entry of each key that the store itself returned last, with its
+	// era.
 	latest map[string]connector.Entry
 }
 
-// Get returns the newest entry of key that the host knows.
+// Get returns the newest entry of key that the host knows. In a copy of a later era than
+// the latest entry, a missing entry is lost and not just unknown yet.
 func (suspectStore *suspectStore) Get(_ context.Context, key string) (connector.Entry, error) {
 	suspectStore.mu.Lock()
 	defer suspectStore.mu.Unlock()
-	if item, ok := suspectStore.gateway.tracker.Item(key); ok && item.Revision() >= suspectStore.latest[key].Version() {
-		return connector.NewEntry(item.Value(), item.Revision()), nil
+	latest := suspectStore.latest[key]
+	item, copied, ok := suspectStore.gateway.tracker.Item(key)
+	copiedEntry := connector.NewEntry(item.Value(), item.Revision()).WithEra(copied.Era())
+	lost := !ok && copied.Era() > latest.Point().Era()
+	if lost || ok && !latest.Point().After(copiedEntry.Point()) {
+		return copiedEntry, nil
 	}
-	return suspectStore.latest[key], nil
+	return latest, nil
 }
 
 // CompareAndSwap writes key in the store. After a conflict it reads the entry, since
 // the host's copy may lag behind.
 func (suspectStore *suspectStore) CompareAndSwap(ctx context.Context, key string, version uint64, data []byte) (connector.Entry, error) {
 	store := suspectStore.gateway.store
-	revision, err := store.CompareAndSwap(ctx, key, version, data)
+	point, err := store.CompareAndSwap(ctx, key, version, data)
 	var failure *connector.CallError
 	switch {
 	case err == nil:
-		suspectStore.setLatest(key, connector.NewEntry(data, revision))
-		return connector.NewEntry(data, revision), nil
+		written := connector.NewEntry(data, point.Revision()).WithEra(point.Era())
+		suspectStore.setLatest(key, written)
+		return written, nil
 	case errors.As(err, &failure) && (failure.Kind() == connector.Conflict || failure.Kind() == connector.Unknown):
-		item, _, readErr := store.Get(ctx, key)
+		item, point, readErr := store.Get(ctx, key)
 		if readErr != nil {
 			return connector.Entry{}, readErr
 		}
-		suspectStore.setLatest(key, connector.NewEntry(item.Value(), item.Revision()))
+		suspectStore.setLatest(key, connector.NewEntry(item.Value(), item.Revision()).WithEra(point.Era()))
 	}
 	return connector.Entry{}, err
 }
 
+// setLatest keeps an entry that the store returned, unless a later era is known already.
 func (suspectStore *suspectStore) setLatest(key string, entry connector.Entry) {
 	suspectStore.mu.Lock()
 	defer suspectStore.mu.Unlock()
-	suspectStore.latest[key] = entry
+	if entry.Point().Era() >= suspectStore.latest[key].Point().Era() {
+		suspectStore.latest[key] = entry
+	}
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/detector"
 	"github.com/chivespool/chivespool/internal/refuser"
 )
@@ -82,9 +83,9 @@
 	// mu guards the fields below.
 	mu sync.Mutex
 	// recorded is the newest list of the store that this host read or
-	// received; version is its version.
+	// received; point is its version and the era of the store that the version is of.
 	recorded *detector.List
-	version  uint64
+	point    definer.Point
 	// unrecorded holds the crashes that may not be in the store yet.
 	unrecorded []crash
 	// queued holds changes for Run to write, such as the end of a suspicion.
--- a/internal/quarantiner/synchronize.go
+++ b/internal/quarantiner/synchronize.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/detector"
 	"github.com/chivespool/chivespool/internal/encoder"
 )
@@ -87,7 +88,7 @@
 		return err
 	}
 	if version > 0 {
-		quarantiner.adopt(list, version, nil)
+		quarantiner.adopt(list, definer.NewPoint(0, version), nil) // The daemons' store has no eras.
 		return nil
 	}
 	now := time.Now()
@@ -105,7 +106,7 @@
 	quarantiner.prepare()
 	quarantiner.mu.Lock()
 	defer quarantiner.mu.Unlock()
-	return encoder.EncodeSuspects(quarantiner.recorded, quarantiner.version)
+	return encoder.EncodeSuspects(quarantiner.recorded, quarantiner.point.Revision())
 }
 
 // announce sends the list to the other hosts, after the crashes that may not be
--- a/internal/quarantiner/update.go
+++ b/internal/quarantiner/update.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/chivespool/chivespool/internal/connector"
+	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/detector"
 	"github.com/chivespool/chivespool/internal/encoder"
 )
@@ -102,7 +103,7 @@
 	applied := apply(list)
 	changed = applied || changed
 	if !changed {
-		quarantiner.adopt(list, entry.Version(), unrecorded)
+		quarantiner.adopt(list, entry.Point(), unrecorded)
 		return false, nil
 	}
 	data, err := encoder.EncodeSuspects(list, 0)
@@ -116,29 +117,29 @@
 	if err != nil {
 		return false, err
 	}
-	quarantiner.adopt(list, written.Version(), unrecorded)
+	quarantiner.adopt(list, written.Point(), unrecorded)
 	return true, nil
 }
 
 // refresh reads the list without writing changes.
 func (quarantiner *Quarantiner) refresh(ctx context.Context) error {
 	entry, err := quarantiner.store.Get(ctx, quarantiner.key)
-	if err != nil || quarantiner.holds(entry.Version()) {
+	if err != nil || quarantiner.holds(entry.Point()) {
 		return err
 	}
 	list, _, err := encoder.DecodeSuspects(entry.Data())
 	if err != nil {
 		return err
 	}
-	quarantiner.adopt(list, entry.Version(), nil)
+	quarantiner.adopt(list, entry.Point(), nil)
 	return nil
 }
 
-// holds reports whether the known list is from version of the list or a newer one.
-func (quarantiner *Quarantiner) holds(version uint64) bool {
+// holds reports whether the known list is from point or a later one.
+func (quarantiner *Quarantiner) holds(point definer.Point) bool {
 	quarantiner.mu.Lock()
 	defer quarantiner.mu.Unlock()
-	return quarantiner.known.Load() != nil && version <= quarantiner.version
+	return quarantiner.known.Load() != nil && !point.After(quarantiner.point)
 }
 
 // hasChanges reports whether crashes or queued changes of this host may have to be
@@ -152,12 +153,12 @@
 // adopt replaces the recorded list by list, unless the recorded one is newer. It
 // drops the unrecorded crashes that are in included, in the recorded list, or
 // without effect.
-func (quarantiner *Quarantiner) adopt(list *detector.List, version uint64, included []crash) {
+func (quarantiner *Quarantiner) adopt(list *detector.List, point definer.Point, included []crash) {
 	quarantiner.mu.Lock()
 	defer quarantiner.mu.Unlock()
-	if version >= quarantiner.version {
+	if !quarantiner.point.After(point) {
 		quarantiner.recorded = list
-		quarantiner.version = version
+		quarantiner.point = point
 	}
 	now := time.Now()
 	done := func(crash crash) bool {
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -13,6 +13,8 @@
 	Host string `json:"host"`
 	// RoutingVersion is 0 if no routing is known.
 	RoutingVersion uint64 `json:"routing-version"`
+	// Era is the era of the store that Revision belongs to.
+	Era uint64 `json:"era"`
 	// Revision is the revision of the store up to which the view is complete.
 	Revision uint64 `json:"revision"`
 	// AgeMs is the view's staleness: the time since the store was last known to be at
--- a/internal/tracker/early.go
+++ b/internal/tracker/early.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // earlyDelay is the time after which the endpoints' changes are read beside a read of
@@ -14,16 +16,16 @@
 // changes is on its way, so that endpoints that leave are not used for that long.
 type earlyReader struct {
 	tracker *Tracker
-	// after is the revision of the host's copy.
-	after  uint64
+	// after is the point of the host's copy.
+	after  definer.Point
 	cancel context.CancelFunc
 	// done is closed when the task has ended.
 	done chan struct{}
 }
 
-// startEarly starts a read of the endpoints' changes after a revision, which begins
+// startEarly starts a read of the endpoints' changes after a point, which begins
 // unless it is closed within earlyDelay.
-func (tracker *Tracker) startEarly(ctx context.Context, after uint64) *earlyReader {
+func (tracker *Tracker) startEarly(ctx context.Context, after definer.Point) *earlyReader {
 	ctx, cancel := context.WithCancel(ctx)
 	earlyReader := &earlyReader{tracker: tracker, after: after, cancel: cancel, done: make(chan struct{})}
 	go earlyReader.run(ctx)
@@ -40,14 +42,14 @@
 		return
 	}
 	tracker := earlyReader.tracker
-	changes, _, err := tracker.store.Changes(ctx, tracker.builder.keys.endpoints, earlyReader.after, changesWait, changesLimit)
+	changes, upTo, err := tracker.store.Changes(ctx, tracker.builder.keys.endpoints, earlyReader.after.Revision(), changesWait, changesLimit)
 	if err != nil {
 		if ctx.Err() == nil {
-			tracker.journal.Change("early read of endpoints failed", "after", earlyReader.after, "error", err)
+			tracker.journal.Change("early read of endpoints failed", "after", earlyReader.after.Revision(), "error", err)
 		}
 		return
 	}
-	tracker.applyEarly(changes)
+	tracker.applyEarly(changes, upTo)
 }
 
 // Close ends the task and waits for it.
@@ -56,11 +58,14 @@
 	<-earlyReader.done
 }
 
-// applyEarly takes endpoints out of use that leave by changes after the replica's
-// revision.
-func (tracker *Tracker) applyEarly(changes []Item) {
+// applyEarly takes endpoints out of use that leave by changes up to upTo, which are after
+// the replica's point. It ignores changes of another era than the replica's.
+func (tracker *Tracker) applyEarly(changes []Item, upTo definer.Point) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
+	if upTo.Era() != tracker.replica.point.Era() {
+		return
+	}
 	tracker.builder.recordLeft(changes)
 	tracker.rebuild(tracker.clock.Now(), false)
 }
--- a/internal/tracker/fleet_test.go
+++ b/internal/tracker/fleet_test.go
@@ -21,6 +21,7 @@
 // fakeStore is a store in memory with the faults of the platform's store.
 type fakeStore struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	items    map[string]Item
 	log      []Item
@@ -36,6 +37,11 @@
 	calls  int
 }
 
+// point returns the point that the store is at; mu is held.
+func (fakeStore *fakeStore) point() definer.Point {
+	return definer.NewPoint(fakeStore.era, fakeStore.revision)
+}
+
 func newFakeStore() *fakeStore {
 	return &fakeStore{revision: 1, items: make(map[string]Item), refused: make(map[string]bool), delays: make(map[string]time.Duration)}
 }
@@ -115,19 +121,19 @@
 	}
 }
 
-func (storeClient *storeClient) Revision(ctx context.Context) (uint64, error) {
+func (storeClient *storeClient) Point(ctx context.Context) (definer.Point, error) {
 	if err := storeClient.startCall(ctx); err != nil {
-		return 0, err
+		return definer.Point{}, err
 	}
 	storeClient.mu.Lock()
 	defer storeClient.mu.Unlock()
-	return storeClient.revision, nil
+	return storeClient.point(), nil
 }
 
 // Scan returns the state before the last change if stale is true.
-func (storeClient *storeClient) Scan(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error) {
+func (storeClient *storeClient) Scan(ctx context.Context, prefix string, stale bool) ([]Item, definer.Point, error) {
 	if err := storeClient.startCall(ctx); err != nil {
-		return nil, 0, err
+		return nil, definer.Point{}, err
 	}
 	storeClient.mu.Lock()
 	defer storeClient.mu.Unlock()
@@ -137,15 +143,15 @@
 			items = append(items, storeClient.items[key])
 		}
 	}
-	revision := storeClient.revision
+	point := storeClient.point()
 	if last := len(storeClient.log) - 1; stale && last > 0 && len(items) > 0 {
 		items = slices.DeleteFunc(items, func(item Item) bool { return item.revision == storeClient.revision })
-		revision--
+		point = definer.NewPoint(point.Era(), point.Revision()-1)
 	}
 	storeClient.mu.Unlock()
 	err := storeClient.deliver(ctx, items)
 	storeClient.mu.Lock()
-	return items, revision, err
+	return items, point, err
 }
 
 // slowScan is the duration of a scan of a busy store.
@@ -154,23 +160,23 @@
 // slowStoreClient is a storeClient whose scans are slow.
 type slowStoreClient struct{ storeClient }
 
-func (slowStoreClient *slowStoreClient) Scan(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error) {
+func (slowStoreClient *slowStoreClient) Scan(ctx context.Context, prefix string, stale bool) ([]Item, definer.Point, error) {
 	time.Sleep(slowScan)
 	return slowStoreClient.storeClient.Scan(ctx, prefix, stale)
 }
 
-func (storeClient *storeClient) Changes(ctx context.Context, prefix string, after uint64, wait, limit time.Duration) ([]Item, uint64, error) {
+func (storeClient *storeClient) Changes(ctx context.Context, prefix string, after uint64, wait, limit time.Duration) ([]Item, definer.Point, error) {
 	start, cancel := context.WithTimeout(ctx, wait+limit)
 	defer cancel()
 	if err := storeClient.startCall(start); err != nil {
-		return nil, 0, err
+		return nil, definer.Point{}, err
 	}
 	storeClient.mu.Lock()
 	hung := storeClient.hung
 	storeClient.mu.Unlock()
 	if hung {
 		<-start.Done()
-		return nil, 0, connector.NewError(connector.Unavailable, "watch", errDown)
+		return nil, definer.Point{}, connector.NewError(connector.Unavailable, "watch", errDown)
 	}
 	storeClient.mu.Lock()
 	defer storeClient.mu.Unlock()
@@ -178,10 +184,10 @@
 		storeClient.mu.Unlock()
 		time.Sleep(wait)
 		storeClient.mu.Lock()
-		return nil, after, nil
+		return nil, definer.NewPoint(storeClient.era, after), nil
 	}
-	if after < storeClient.compactedTo {
-		return nil, 0, connector.NewError(connector.Compacted, "watch", nil)
+	if after < storeClient.compactedTo || after > storeClient.revision {
+		return nil, definer.Point{}, connector.NewError(connector.Compacted, "watch", nil)
 	}
 	var changes []Item
 	for _, change := range storeClient.log {
@@ -189,15 +195,16 @@
 			changes = append(changes, change)
 		}
 	}
-	revision := storeClient.revision
+	point := storeClient.point()
 	storeClient.mu.Unlock()
 	err := storeClient.deliver(ctx, changes)
 	storeClient.mu.Lock()
-	return changes, revision, err
+	return changes, point, err
 }
 
 // textDecoder reads values such as "7" for a table and "ledger" for an endpoint
-// of that service; "bad" can't be decoded.
+// of that service, optionally followed by its state and start time; "bad" can't be
+// decoded.
 type textDecoder struct{}
 
 func (textDecoder) Table(value []byte) (*definer.RouteTable, error) {
@@ -209,8 +216,10 @@
 	if string(value) == "bad" {
 		return definer.Endpoint{}, errors.New("bad")
 	}
-	service, state, _ := strings.Cut(string(value), " ")
-	return definer.NewEndpoint(name, service, "10.0.0.1:1", definer.Place{}, 4).WithDrained(state == "draining"), nil
+	fields := append(strings.Fields(string(value)), "", "", "")
+	startedAt, _ := strconv.ParseInt(fields[2], 10, 64) // 0 if there is none.
+	return definer.NewEndpoint(name, fields[0], "10.0.0.1:1", definer.Place{}, 4).
+		WithDrained(fields[1] == "draining").WithStartedAt(startedAt), nil
 }
 
 func (textDecoder) Host(value []byte) (definer.Host, error) {
@@ -251,7 +260,7 @@
 	host string
 }
 
-func (peerClient *peerClient) Fetch(ctx context.Context, host string, revision, checks uint64) (Update, error) {
+func (peerClient *peerClient) Fetch(ctx context.Context, host string, after definer.Point, checks uint64) (Update, error) {
 	peerClient.mu.Lock()
 	peerClient.fetches++
 	tracker, outgoing, incoming := peerClient.trackers[host], peerClient.outgoing[host], peerClient.incoming[peerClient.host]
@@ -262,7 +271,7 @@
 		return Update{}, ctx.Err()
 	}
 	time.Sleep(12 * time.Millisecond)
-	update := tracker.Serve(ctx, revision, checks)
+	update := tracker.Serve(ctx, after, checks)
 	time.Sleep(12 * time.Millisecond)
 	if err := carry(ctx, transitBytes(update.items, compressedShare), outgoing, incoming); err != nil {
 		return Update{}, err
@@ -297,7 +306,7 @@
 				name := fmt.Sprintf("host-%d-%d-%d", region, centre, number)
 				place := definer.NewPlace(fmt.Sprint("region-", region), fmt.Sprint("centre-", region, "-", centre))
 				host := definer.NewHost(name, name, name, place, 1)
-				keys := NewKeys("table", "endpoints/", "hosts/")
+				keys := NewKeys("table", "endpoints/", "hosts/").WithEvacuations("evacuate/")
 				if layout.limited {
 					rate := float64(slowLink)
 					if number >= layout.hosts-layout.fast {
--- a/internal/tracker/large_table_test.go
+++ b/internal/tracker/large_table_test.go
@@ -76,7 +76,7 @@
 			write("endpoints/a", fmt.Sprint("ledger ", step))
 			time.Sleep(50 * time.Millisecond)
 			for name, tracker := range fleet.trackers {
-				lacks, ok := written[tracker.View().Revision()+1]
+				lacks, ok := written[tracker.View().Point().Revision()+1]
 				if excess := time.Since(lacks) - tracker.Age(time.Now()); ok && excess > worst {
 					worst = excess
 					t.Errorf("%s lacks a change of %v ago and counts its view as %v newer than that", name, time.Since(lacks), excess)
--- a/internal/tracker/meters.go
+++ b/internal/tracker/meters.go
@@ -14,6 +14,8 @@
 	// got no answer.
 	completeReads metrics.Counter
 	failedReads   metrics.Counter
+	// eraChanges counts the copies that were replaced by one of a later era.
+	eraChanges metrics.Counter
 }
 
 // SetRegistry registers the tracker's metrics in registry, under names that begin
@@ -23,7 +25,11 @@
 		staleness:     metrics.GetOrRegisterTimer("tracker.staleness", registry),
 		completeReads: metrics.GetOrRegisterCounter("tracker.reads.complete", registry),
 		failedReads:   metrics.GetOrRegisterCounter("tracker.reads.failed", registry),
+		eraChanges:    metrics.GetOrRegisterCounter("tracker.eras.changed", registry),
 	}
+	metrics.NewRegisteredFunctionalGauge("tracker.era", registry, func() int64 {
+		return int64(tracker.point().Era())
+	})
 	metrics.NewRegisteredFunctionalGauge("tracker.age", registry, func() int64 {
 		return tracker.Age(tracker.clock.Now()).Nanoseconds()
 	})
@@ -32,6 +38,11 @@
 		defer tracker.mu.Unlock()
 		return int64(len(tracker.builder.graceUntil))
 	})
+	metrics.NewRegisteredFunctionalGauge("tracker.endpoints.held-back", registry, func() int64 {
+		tracker.mu.Lock()
+		defer tracker.mu.Unlock()
+		return int64(len(tracker.builder.eras.heldBack))
+	})
 }
 
 func (meters *meters) check(staleness time.Duration) {
@@ -51,3 +62,9 @@
 		meters.failedReads.Inc(1)
 	}
 }
+
+func (meters *meters) eraChange() {
+	if meters.eraChanges != nil {
+		meters.eraChanges.Inc(1)
+	}
+}
--- a/internal/tracker/replica.go
+++ b/internal/tracker/replica.go
@@ -1,18 +1,23 @@
 package tracker
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/chivespool/chivespool/internal/definer"
+)
 
 // maxLogged bounds the changes that a replica keeps for peers that are behind;
 // a peer further behind gets a complete copy. Of each key only the last change has a
 // value, so that the log holds no values besides those of the copy.
 const maxLogged = 1024
 
-// replica is a copy of parts of the store, complete up to a revision. It
+// replica is a copy of parts of the store, complete up to a point. It
 // decides whether a change or a scan is newer than the copy, and does no I/O.
-// The zero value is the empty copy at revision 0, to be filled by a scan.
+// The zero value is the empty copy at revision 0 of era 0, to be filled by a scan.
 type replica struct {
-	// revision is the revision up to which the copy is complete; it only rises.
-	revision uint64
+	// point is the point up to which the copy is complete; it only rises. All items and
+	// all of the log belong to its era.
+	point definer.Point
 	// items holds the existing keys.
 	items map[string]Item
 	// log holds the last changes in order: all after revision since. A change that a
@@ -23,26 +28,31 @@
 }
 
 // apply applies the changes after the replica's revision up to upTo, if they are
-// complete: each of these revisions has a change. It reports whether they are.
-func (replica *replica) apply(changes []Item, upTo uint64) bool {
-	if upTo <= replica.revision {
+// of the same era and complete: each of these revisions has a change. It reports
+// whether they are.
+func (replica *replica) apply(changes []Item, upTo definer.Point) bool {
+	if upTo.Era() != replica.point.Era() {
+		return false
+	}
+	known, last := replica.point.Revision(), upTo.Revision()
+	if last <= known {
 		return true
 	}
 	seen := make(map[uint64]bool, len(changes))
 	for _, change := range changes {
 		seen[change.revision] = true
 	}
-	for revision := replica.revision + 1; revision <= upTo; revision++ {
+	for revision := known + 1; revision <= last; revision++ {
 		if !seen[revision] {
 			return false
 		}
 	}
 	for _, change := range changes {
-		if change.revision > replica.revision && change.revision <= upTo {
+		if change.revision > known && change.revision <= last {
 			replica.applyChange(change)
 		}
 	}
-	replica.revision = upTo
+	replica.point = upTo
 	return true
 }
 
@@ -82,28 +92,30 @@
 }
 
 // replace replaces the copy by a scan whose items are at least as new as
-// revision, if that is newer than the copy. It reports whether it is.
-func (replica *replica) replace(items []Item, revision uint64) bool {
-	if revision <= replica.revision {
+// point, if that is after the copy's. It reports whether it is.
+func (replica *replica) replace(items []Item, point definer.Point) bool {
+	if !point.After(replica.point) {
 		return false
 	}
 	replica.items = nil
 	for _, item := range items {
 		replica.put(item)
 	}
-	replica.revision = revision
+	replica.point = point
 	replica.log = nil
-	replica.since = revision
+	replica.since = point.Revision()
 	return true
 }
 
-// changesAfter returns the changes after revision. If the log does not reach
-// back that far, it returns all items, and complete is true.
-func (replica *replica) changesAfter(revision uint64) (items []Item, complete bool) {
-	if revision >= replica.revision {
+// changesAfter returns the changes after a point. If the log does not reach
+// back that far, or the point is of an earlier era, it returns all items, and complete
+// is true.
+func (replica *replica) changesAfter(after definer.Point) (items []Item, complete bool) {
+	if !replica.point.After(after) {
 		return nil, false
 	}
-	if revision < replica.since || replica.since == 0 && revision == 0 {
+	revision := after.Revision()
+	if after.Era() < replica.point.Era() || revision < replica.since || replica.since == 0 && revision == 0 {
 		for _, item := range replica.items {
 			items = append(items, item)
 		}
--- a/internal/tracker/replica_test.go
+++ b/internal/tracker/replica_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+
+	"github.com/chivespool/chivespool/internal/definer"
 )
 
 // TestLogHoldsNoSupersededValues applies many versions of one large value. The log for
@@ -14,13 +16,13 @@
 func TestLogHoldsNoSupersededValues(t *testing.T) {
 	const valueBytes, versions = 64 << 10, 3 * maxLogged
 	var replica replica
-	replica.replace([]Item{NewItem("table", nil, 1)}, 1)
+	replica.replace([]Item{NewItem("table", nil, 1)}, definer.NewPoint(0, 1))
 	for revision := uint64(2); revision < versions; revision++ {
 		key := "table"
 		if revision%8 == 0 {
 			key = "hosts/" + fmt.Sprint(revision%64)
 		}
-		if !replica.apply([]Item{NewItem(key, make([]byte, valueBytes), revision)}, revision) {
+		if !replica.apply([]Item{NewItem(key, make([]byte, valueBytes), revision)}, definer.NewPoint(0, revision)) {
 			t.Fatalf("revision %d was not applied", revision)
 		}
 	}
@@ -41,7 +43,7 @@
 		random := rand.New(rand.NewPCG(seed, 0))
 		chain := make([]replica, 4)
 		for index := range chain {
-			chain[index].replace([]Item{NewItem("a", []byte("0"), 1)}, 1)
+			chain[index].replace([]Item{NewItem("a", []byte("0"), 1)}, definer.NewPoint(0, 1))
 		}
 		for revision := uint64(2); revision < 400; revision++ {
 			key := string(rune('a' + random.IntN(6)))
@@ -49,7 +51,7 @@
 			if random.IntN(4) == 0 {
 				change = RemovedItem(key, revision)
 			}
-			if !chain[0].apply([]Item{change}, revision) {
+			if !chain[0].apply([]Item{change}, definer.NewPoint(0, revision)) {
 				t.Fatalf("seed %d: revision %d was not applied", seed, revision)
 			}
 			for index := 1; index < len(chain); index++ {
@@ -57,9 +59,9 @@
 				if random.IntN(8) > 0 {
 					continue
 				}
-				changes, complete := parent.changesAfter(peer.revision)
-				if complete || !peer.apply(changes, parent.revision) {
-					t.Fatalf("seed %d: peer %d could not apply the changes from %d to %d", seed, index, peer.revision, parent.revision)
+				changes, complete := parent.changesAfter(peer.point)
+				if complete || !peer.apply(changes, parent.point) {
+					t.Fatalf("seed %d: peer %d could not apply the changes from %d to %d", seed, index, peer.point.Revision(), parent.point.Revision())
 				}
 				if !maps.EqualFunc(parent.items, peer.items, equalItems) {
 					t.Fatalf("seed %d: at revision %d, peer %d has %v, want %v", seed, revision, index, peer.items, parent.items)
--- a/internal/tracker/tasks.go
+++ b/internal/tracker/tasks.go
@@ -172,7 +172,7 @@
 	tracker.mu.Unlock()
 	if err == nil {
 		if changed {
-			tracker.journal.Change("store reachable again", "revision", tracker.revision())
+			tracker.journal.Change("store reachable again", "era", tracker.point().Era(), "revision", tracker.point().Revision())
 		}
 		return time.Time{}
 	}
@@ -267,7 +267,7 @@
 	bound, cancel := context.WithTimeout(ctx, tracker.timing.fetchTimeout())
 	defer cancel()
 	start := tracker.clock.Now()
-	update, err := tracker.peers.Fetch(bound, host, tracker.revision(), checks)
+	update, err := tracker.peers.Fetch(bound, host, tracker.point(), checks)
 	now := tracker.clock.Now()
 	if err != nil {
 		if ctx.Err() == nil {
@@ -277,12 +277,12 @@
 		return 0
 	}
 	tracker.applyUpdate(now, update.inTransit(now.Sub(start)))
-	if update.age >= neverAge && tracker.revision() == 0 {
+	if update.age >= neverAge && tracker.point().Revision() == 0 {
 		tracker.exclude(now, host, exclusionShare) // The seed has no copy; another may.
 		return 0
 	}
 	if at, _ := tracker.position(now); at > depthFleet && update.age > tracker.timing.overdueAge(at-1) && update.age < neverAge {
-		tracker.journal.Change("peer's freshness check is overdue", "peer", host, "age", update.age, "revision", update.revision)
+		tracker.journal.Change("peer's freshness check is overdue", "peer", host, "age", update.age, "era", update.point.Era(), "revision", update.point.Revision())
 		tracker.exclude(now, host, tracker.overdueExclusion())
 		return 0
 	}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -12,23 +12,24 @@
 
 // Store is the part of the platform's store that a tracker reads.
 type Store interface {
-	// Revision returns the store's current revision.
-	Revision(ctx context.Context) (uint64, error)
-	// Scan returns all items and a revision; the items are at least as new as
+	// Point returns the point that the store is at.
+	Point(ctx context.Context) (definer.Point, error)
+	// Scan returns all items and a point; the items are at least as new as
 	// that. A stale scan costs less and may be seconds behind.
-	Scan(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error)
-	// Changes returns the changes after a revision, and the revision up to
-	// which they are complete. It waits for a change for at most wait, and fails if
-	// the reply does not begin within limit after that.
-	Changes(ctx context.Context, prefix string, after uint64, wait, limit time.Duration) ([]Item, uint64, error)
+	Scan(ctx context.Context, prefix string, stale bool) ([]Item, definer.Point, error)
+	// Changes returns the changes after a revision, and the point up to which they are
+	// complete; if its era is not that of the revision, they have no meaning. It waits
+	// for a change for at most wait, and fails if the reply does not begin within limit
+	// after that.
+	Changes(ctx context.Context, prefix string, after uint64, wait, limit time.Duration) ([]Item, definer.Point, error)
 }
 
 // Peers are the other entry hosts.
 type Peers interface {
-	// Fetch asks host for its update after revision. It blocks until host has a
-	// newer revision, has counted more freshness checks than checks, or has held
+	// Fetch asks host for its update after a point. It blocks until host has a
+	// later one, has counted more freshness checks than checks, or has held
 	// the reply back for its longest time.
-	Fetch(ctx context.Context, host string, revision, checks uint64) (Update, error)
+	Fetch(ctx context.Context, host string, after definer.Point, checks uint64) (Update, error)
 }
 
 // Tracker keeps a View current. Make one with New.
@@ -50,7 +51,7 @@
 	replica replica
 	builder builder
 	// checkedAt is the last time at which the store was known to be at the
-	// replica's revision; zero for never.
+	// replica's point; zero for never.
 	checkedAt time.Time
 	// firstCopyAt is the time of the first scan; zero for never.
 	firstCopyAt time.Time
@@ -140,12 +141,13 @@
 // Ready returns a channel that is closed at the first freshness check.
 func (tracker *Tracker) Ready() <-chan struct{} { return tracker.firstCheck }
 
-// Item returns the host's copy of a key.
-func (tracker *Tracker) Item(key string) (Item, bool) {
+// Item returns the host's copy of a key, and the point of the whole copy, whose era the
+// key's revision belongs to.
+func (tracker *Tracker) Item(key string) (item Item, copied definer.Point, ok bool) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	item, ok := tracker.replica.items[key]
-	return item, ok
+	item, ok = tracker.replica.items[key]
+	return item, tracker.replica.point, ok
 }
 
 // baseDepth returns the host's depth in the tree if no host is excluded.
@@ -188,157 +190,24 @@
 	return tracker.disconnected && tracker.age(now) > outageAge
 }
 
-// read brings the replica up to the store's revision; start is the time at which
-// the read began.
-func (tracker *Tracker) read(ctx context.Context, start time.Time) error {
-	known := tracker.revision()
-	if known == 0 || tracker.alone(start) {
-		return tracker.readFirst(ctx)
-	}
-	revision, err := tracker.store.Revision(ctx)
-	if err != nil {
-		return err
-	}
-	if revision > known {
-		return tracker.catchUp(ctx, start, known, revision)
-	}
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	tracker.recordCheck(start)
-	if tracker.builder.hasLapsedEndpoints() {
-		tracker.rebuild(tracker.clock.Now(), false)
-	}
-	return nil
-}
-
-// revision returns the replica's revision.
-func (tracker *Tracker) revision() uint64 {
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	return tracker.replica.revision
-}
-
-// catchUp reads the changes after the revision known, or the whole store where
-// the changes are incomplete.
-func (tracker *Tracker) catchUp(ctx context.Context, start time.Time, known, revision uint64) error {
-	for {
-		early := tracker.startEarly(ctx, known)
-		changes, upTo, err := tracker.store.Changes(ctx, "", known, changesWait, changesLimit)
-		early.Close()
-		if err != nil || upTo <= known || !tracker.applyChanges(start, changes, upTo, revision) {
-			tracker.journal.Change("store changes incomplete; reading the whole store", "after", known, "to", upTo,
-				"revision", revision, "told", len(changes), "error", err)
-			return tracker.readAll(ctx, start)
-		}
-		if upTo >= revision {
-			return nil
-		}
-		known = upTo // The store returns many changes in parts.
-	}
-}
-
-// readFirst reads the whole store with a stale scan, which costs least. It is no
-// freshness check, but it shows which peers exist, and a peer sends the changes
-// since.
-func (tracker *Tracker) readFirst(ctx context.Context) error {
-	items, asOf, err := tracker.store.Scan(ctx, "", true)
-	if err != nil {
-		return err
-	}
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	if tracker.firstCopyAt.IsZero() {
-		tracker.firstCopyAt = tracker.clock.Now()
-	}
-	tracker.lastScanAt = tracker.clock.Now()
-	if tracker.replica.replace(items, asOf) {
-		tracker.rebuild(tracker.clock.Now(), false)
-	}
-	return nil
-}
-
-// Limits for a host that has just started and knows no other.
-const (
-	// aloneWindow is the time for which the host looks for others before it makes
-	// its own freshness check: hosts that start together register within it.
-	aloneWindow = time.Second
-	// aloneInterval is the time between two scans.
-	aloneInterval = 250 * time.Millisecond
-)
-
-// alone reports whether the host has just started and knows no other.
-func (tracker *Tracker) alone(now time.Time) bool {
-	hosts := tracker.View().Hosts()
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	if !tracker.checkedAt.IsZero() || now.Sub(tracker.firstCopyAt) >= aloneWindow {
-		return false
-	}
-	return len(hosts) == 0 || len(hosts) == 1 && hosts[0].Name() == tracker.self.Name()
-}
-
-// readAll reads the whole store with a scan that is not stale, and records a
-// freshness check.
-func (tracker *Tracker) readAll(ctx context.Context, start time.Time) error {
-	tracker.meters.completeRead()
-	items, asOf, err := tracker.store.Scan(ctx, "", false)
-	if err != nil {
-		return err
-	}
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	afterOutage := tracker.afterOutage(start)
-	if tracker.replica.replace(items, asOf) {
-		tracker.rebuild(tracker.clock.Now(), afterOutage)
-	}
-	tracker.recordCheck(start)
-	return nil
-}
-
-// changesWait is how long the store may wait for a change that its revision
-// already covers.
-const changesWait = 20 * time.Millisecond
-
-// changesLimit bounds the time until the reply with the changes begins. It is short:
-// the store has just answered another call, so only the watch may hang. A slow store
-// takes 250 ms for an answer.
-const changesLimit = 400 * time.Millisecond
-
-// applyChanges applies changes up to upTo and reports whether they are
-// complete. Where upTo reaches the store's revision, it records a freshness
-// check.
-func (tracker *Tracker) applyChanges(start time.Time, changes []Item, upTo, revision uint64) bool {
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	afterOutage := tracker.afterOutage(start)
-	if !tracker.replica.apply(changes, upTo) {
-		return false
-	}
-	tracker.rebuild(tracker.clock.Now(), afterOutage)
-	if upTo >= revision {
-		tracker.recordCheck(start)
-	}
-	return true
-}
-
 // applyUpdate applies a peer's update that is as old as its age says at now.
 func (tracker *Tracker) applyUpdate(now time.Time, update Update) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	if update.revision < tracker.replica.revision {
+	if tracker.replica.point.After(update.point) {
 		return
 	}
 	checkedAt := now.Add(-update.age)
 	afterOutage := tracker.afterOutage(now)
-	if update.revision > tracker.replica.revision {
+	if update.point.After(tracker.replica.point) {
 		switch {
 		case update.complete:
-			tracker.replica.replace(update.items, update.revision)
-		case !tracker.replica.apply(update.items, update.revision):
+			tracker.replace(update.items, update.point)
+		case !tracker.replica.apply(update.items, update.point):
 			return
 		}
 		tracker.rebuild(now, afterOutage)
-	} else if tracker.builder.hasLapsedEndpoints() {
+	} else if tracker.builder.changesWithTime() {
 		tracker.rebuild(now, false)
 	}
 	if update.age < neverAge {
@@ -347,18 +216,18 @@
 	}
 }
 
-// Serve returns the update for a peer whose copy is at revision; checks is the
+// Serve returns the update for a peer whose copy is at a point; checks is the
 // number of this host's freshness checks that the peer knows of. Serve blocks until
-// there is a newer revision or check, but returns before the peer excludes this
+// there is a later point or a newer check, but returns before the peer excludes this
 // host as failed.
-func (tracker *Tracker) Serve(ctx context.Context, revision, checks uint64) Update {
+func (tracker *Tracker) Serve(ctx context.Context, after definer.Point, checks uint64) Update {
 	start := tracker.clock.Now()
 	at, _ := tracker.position(start)
 	timer := time.NewTimer(tracker.timing.holdTime(at, tracker.Age(start)))
 	defer timer.Stop()
 	for {
-		update, renewed := tracker.update(tracker.clock.Now(), revision)
-		if update.checks > checks || update.revision > revision {
+		update, renewed := tracker.update(tracker.clock.Now(), after)
+		if update.checks > checks || update.point.After(after) {
 			return update.WithHeld(tracker.clock.Now().Sub(start))
 		}
 		select {
@@ -368,16 +237,16 @@
 		case <-ctx.Done():
 		}
 		// The age has grown while the reply was held back.
-		update, _ = tracker.update(tracker.clock.Now(), revision)
+		update, _ = tracker.update(tracker.clock.Now(), after)
 		return update.WithHeld(tracker.clock.Now().Sub(start))
 	}
 }
 
-// update returns the update from revision, and a channel that is closed at the
+// update returns the update after a point, and a channel that is closed at the
 // next freshness check.
-func (tracker *Tracker) update(now time.Time, revision uint64) (Update, <-chan struct{}) {
+func (tracker *Tracker) update(now time.Time, after definer.Point) (Update, <-chan struct{}) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	items, complete := tracker.replica.changesAfter(revision)
-	return NewUpdate(tracker.replica.revision, tracker.age(now), tracker.checks, complete, items), tracker.renewed
+	items, complete := tracker.replica.changesAfter(after)
+	return NewUpdate(tracker.replica.point, tracker.age(now), tracker.checks, complete, items), tracker.renewed
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -322,9 +322,9 @@
 			self := definer.NewHost("self", "self", "self", definer.NewPlace("region", "centre"), 1)
 			tracker := New(self, &storeClient{fakeStore: store, host: "self"}, nil, textDecoder{}, NewKeys("table", "endpoints/", "hosts/"), changeBound, discardJournal{})
 			items := []Item{NewItem("table", []byte("1"), 1), NewItem("endpoints/a", []byte("ledger"), 2)}
-			tracker.applyUpdate(time.Now(), NewUpdate(2, 0, 1, true, items))
+			tracker.applyUpdate(time.Now(), NewUpdate(definer.NewPoint(0, 2), 0, 1, true, items))
 			time.Sleep(2 * outageAge)
-			tracker.applyUpdate(time.Now(), NewUpdate(3, 0, 2, false, []Item{RemovedItem("endpoints/a", 3)}))
+			tracker.applyUpdate(time.Now(), NewUpdate(definer.NewPoint(0, 3), 0, 2, false, []Item{RemovedItem("endpoints/a", 3)}))
 			if len(tracker.View().Endpoints("ledger")) > 0 {
 				t.Error("the host knows of the removal and keeps the endpoint")
 			}
@@ -340,7 +340,7 @@
 			var removed uint64
 			fleet.store.set(func(store *fakeStore) { removed = store.revision })
 			tracker := fleet.trackers["host-0-0-0"]
-			for start := time.Now(); tracker.View().Revision() < removed; time.Sleep(10 * time.Millisecond) {
+			for start := time.Now(); tracker.View().Point().Revision() < removed; time.Sleep(10 * time.Millisecond) {
 				if time.Since(start) > 10*time.Second {
 					t.Fatal("the host has not read the removal within 10 s")
 				}
--- a/internal/tracker/update.go
+++ b/internal/tracker/update.go
@@ -1,30 +1,35 @@
 package tracker
 
-import "time"
+import (
+	"time"
 
-// Update brings a copy of the store from one revision to a later one.
+	"github.com/chivespool/chivespool/internal/definer"
+)
+
+// Update brings a copy of the store from one point to a later one.
 type Update struct {
-	revision uint64
-	// age is the time since the store was last known to be at revision.
+	point definer.Point
+	// age is the time since the store was last known to be at point.
 	age time.Duration
 	// checks is the sending host's count of freshness checks.
 	checks uint64
 	// held is the time for which the sending host held its reply back.
 	held time.Duration
-	// complete is true where items are a complete copy and not changes.
+	// complete is true where items are a complete copy and not changes, as in every
+	// update from one era to a later one.
 	complete bool
 	items    []Item
 }
 
 // NewUpdate returns an update from a host whose last freshness check is age old.
-func NewUpdate(revision uint64, age time.Duration, checks uint64, complete bool, items []Item) Update {
-	return Update{revision: revision, age: age, checks: checks, complete: complete, items: items}
+func NewUpdate(point definer.Point, age time.Duration, checks uint64, complete bool, items []Item) Update {
+	return Update{point: point, age: age, checks: checks, complete: complete, items: items}
 }
 
-// Revision returns the revision that the update leads to.
-func (update Update) Revision() uint64 { return update.revision }
+// Point returns the point that the update leads to.
+func (update Update) Point() definer.Point { return update.point }
 
-// Age returns the time since the store was last known to be at that revision.
+// Age returns the time since the store was last known to be at that point.
 func (update Update) Age() time.Duration { return update.age }
 
 // Checks returns the sending host's count of freshness checks.
--- a/internal/tracker/view.go
+++ b/internal/tracker/view.go
@@ -12,12 +12,13 @@
 	// endpoints holds the endpoints that accept new requests, by service; those of
 	// evacuated data centres are left out.
 	endpoints map[string][]definer.Endpoint
-	// evacuated holds the names of the data centres whose endpoints get no requests.
-	evacuated map[string]bool
+	// evacuated holds the names of the data centres whose endpoints get no requests, with
+	// the eras in which their entries were last read.
+	evacuated map[string]uint64
 	// hosts holds the registered entry hosts, ordered by name.
 	hosts []definer.Host
-	// revision is the store's revision that the view is of.
-	revision uint64
+	// point is the point of the store that the view is of.
+	point definer.Point
 }
 
 var emptyView = View{table: new(definer.RouteTable)}
@@ -31,7 +32,10 @@
 func (view *View) Endpoints(service string) []definer.Endpoint { return view.endpoints[service] }
 
 // Evacuated reports whether the endpoints of a data centre get no requests.
-func (view *View) Evacuated(dataCentre string) bool { return view.evacuated[dataCentre] }
+func (view *View) Evacuated(dataCentre string) bool {
+	_, evacuated := view.evacuated[dataCentre]
+	return evacuated
+}
 
 // Names returns the names of all endpoints that accept new requests.
 func (view *View) Names() map[string]bool {
@@ -47,18 +51,8 @@
 // Hosts returns the registered entry hosts; callers must not change the slice.
 func (view *View) Hosts() []definer.Host { return view.hosts }
 
-// Has reports whether the host called name is registered.
-func (view *View) Has(name string) bool {
-	for _, host := range view.hosts {
-		if host.Name() == name {
-			return true
-		}
-	}
-	return false
-}
-
-// Revision returns the store's revision that the view is of.
-func (view *View) Revision() uint64 { return view.revision }
+// Point returns the point of the store that the view is of.
+func (view *View) Point() definer.Point { return view.point }
 
 // Decoder decodes the values of the store.
 type Decoder interface {
