--- a/internal/encoder/copy.go
+++ b/internal/encoder/copy.go
@@ -70,10 +70,14 @@
 
 // MarshalHost encodes the registration of an entry host.
 func MarshalHost(host definer.Host) ([]byte, error) {
+	state := HostState_HOST_STATE_LIVE
+	if host.State() == definer.Leaving {
+		state = HostState_HOST_STATE_LEAVING
+	}
 	value, err := proto.Marshal(&Member{
 		Name: host.Name(), Address: host.Address(), PeerAddress: host.PeerAddress(),
 		Region: host.Place().Region(), DataCentre: host.Place().DataCentre(), Incarnation: host.Incarnation(),
-		LinkRate: host.LinkRate(),
+		LinkRate: host.LinkRate(), State: state,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encode host: %w", err)
@@ -92,5 +96,8 @@
 	}
 	place := definer.NewPlace(member.GetRegion(), member.GetDataCentre())
 	host := definer.NewHost(member.GetName(), member.GetAddress(), member.GetPeerAddress(), place, member.GetIncarnation())
+	if member.GetState() == HostState_HOST_STATE_LEAVING {
+		host = host.WithState(definer.Leaving)
+	}
 	return host.WithLinkRate(member.GetLinkRate()), nil
 }
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -1,7 +1,6 @@
 package launcher
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -38,38 +37,41 @@
 	return gateway.tracker.View().Table().ColdRate(service)
 }
 
-// Freshness returns the age and the revision of the host's local view.
+// Freshness returns the age and the revision of the host's local view. The revision
+// decreases where the era rises.
 func (gateway *Gateway) Freshness() (age time.Duration, revision uint64) {
-	return gateway.tracker.Age(gateway.clock.Now()), gateway.tracker.View().Revision()
+	return gateway.tracker.Age(gateway.clock.Now()), gateway.tracker.View().Point().Revision()
 }
 
 // LocalView returns a report of the host's local view and its age.
 func (gateway *Gateway) LocalView() reporter.View {
 	view := gateway.tracker.View()
 	return reporter.View{
-		Host: gateway.self.Name(), RoutingVersion: view.Table().Version(), Revision: view.Revision(),
+		Host: gateway.self.Name(), RoutingVersion: view.Table().Version(),
+		Era: view.Point().Era(), Revision: view.Point().Revision(),
 		AgeMs: gateway.tracker.Age(gateway.clock.Now()).Milliseconds(), Hosts: len(view.Hosts()), Endpoints: len(view.Names()),
 	}
 }
 
-// Missing reports whether the local view is newer than revision and does not
-// hold the host's registration.
-func (gateway *Gateway) Missing(revision uint64) bool {
-	view := gateway.tracker.View()
-	return view.Revision() > revision && !view.Has(gateway.self.Name())
+// Missing reports whether the host's copy of the store is at a later point of the era
+// than written and does not hold key.
+func (gateway *Gateway) Missing(key string, written definer.Point) bool {
+	_, copied, ok := gateway.tracker.Item(key)
+	return !ok && copied.Era() == written.Era() && copied.After(written)
 }
 
+// Era returns the era of the host's copy of the store.
+func (gateway *Gateway) Era() uint64 { return gateway.tracker.View().Point().Era() }
+
 // Ready returns a channel that is closed once the host's copy of the store is
 // known to be complete.
 func (gateway *Gateway) Ready() <-chan struct{} { return gateway.tracker.Ready() }
 
-// Registered returns the lease and the revision of key if it holds value.
-func (gateway *Gateway) Registered(key string, value []byte) (lease, revision uint64, ok bool) {
-	item, ok := gateway.tracker.Item(key)
-	if !ok || !bytes.Equal(item.Value(), value) {
-		return 0, 0, false
-	}
-	return item.Lease(), item.Revision(), true
+// Registered returns the value and the lease of key and the point at which it was written,
+// if it exists.
+func (gateway *Gateway) Registered(key string) (value []byte, lease definer.Lease, written definer.Point, ok bool) {
+	item, copied, ok := gateway.tracker.Item(key)
+	return item.Value(), definer.NewLease(item.Lease(), copied.Era(), 0), definer.NewPoint(copied.Era(), item.Revision()), ok
 }
 
 // ReadinessProblems returns the reasons why the host is not ready, with the remedies.
@@ -122,12 +124,12 @@
 	return locator.Near(hosts, place, gateway.tracker.View().Table().HostRegions(name)), holdTime
 }
 
-// updatePeers sets the messenger's peers to the hosts of the view, if the view's
-// revision has changed.
+// updatePeers sets the messenger's peers to the hosts of the view, if the view has
+// changed.
 func (gateway *Gateway) updatePeers() {
 	view := gateway.tracker.View()
-	if gateway.peersRevision.Swap(view.Revision()) != view.Revision() {
-		gateway.messenger.SetPeers(view.Hosts())
+	if gateway.peersView.Swap(view) != view {
+		gateway.messenger.SetPeers(view.Members()) // Hosts that leave still answer.
 	}
 }
 
@@ -187,11 +189,13 @@
 	}
 	if view := gateway.tracker.View(); view != updater.view {
 		updater.view, updater.members = view, nil
-		for _, host := range view.Hosts() {
-			item, _ := gateway.tracker.Item(hostPrefix + host.Name())
-			updater.members = append(updater.members, throttler.NewMember(host, item.Revision()))
+		for _, host := range view.Members() {
+			// The lease stays the same if the host starts again before it expires.
+			item, _, _ := gateway.tracker.Item(hostPrefix + host.Name())
+			updater.members = append(updater.members, throttler.NewMember(host.WithState(definer.Live), item.Lease()))
 		}
 	}
+	gateway.throttler.Adopt(gateway.enroller.Adopted())
 	gateway.throttler.Update(now, checkedAt, updater.members)
 }
 
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -103,8 +103,9 @@
 	permits   *permitClient
 	// stopper limits requests during a planned stop.
 	stopper *stopper.Stopper
-	// peersRevision is the revision of the view that the messenger's peers are from.
-	peersRevision atomic.Uint64
+	// peersView is the view that the messenger's peers are from. Hosts may also change
+	// between views of one revision.
+	peersView atomic.Pointer[tracker.View]
 }
 
 // New returns a gateway with the settings in file that logs to output and reads the
@@ -164,7 +165,11 @@
 	if err != nil {
 		return err
 	}
-	gateway.enroller = enroller.New(gateway.store, gateway, gateway.log, hostPrefix+gateway.self.Name(), value)
+	leaving, err := encoder.MarshalHost(registered.WithLinkRate(gateway.self.LinkRate()).WithState(definer.Leaving))
+	if err != nil {
+		return err
+	}
+	gateway.enroller = enroller.New(gateway.store, gateway, gateway.log, hostPrefix+gateway.self.Name(), value, leaving)
 	return nil
 }
 
--- a/internal/tracker/evacuation_test.go
+++ b/internal/tracker/evacuation_test.go
@@ -24,7 +24,7 @@
 		var replica replica
 		replica.replace([]Item{
 			NewItem("table", []byte("1"), 1), NewItem("endpoints/a", []byte("centre-a"), 2), NewItem("endpoints/b", []byte("centre-b"), 3),
-		}, 3)
+		}, definer.NewPoint(0, 3))
 		usable := func(want ...string) {
 			t.Helper()
 			view := builder.build(time.Now(), &replica, false)
@@ -39,11 +39,11 @@
 			}
 		}
 		usable("a", "b")
-		replica.apply([]Item{NewItem("evacuate/centre-a", []byte("{}"), 4)}, 4)
+		replica.apply([]Item{NewItem("evacuate/centre-a", []byte("{}"), 4)}, definer.NewPoint(0, 4))
 		usable("b")
-		replica.apply([]Item{NewItem("endpoints/c", []byte("centre-a"), 5)}, 5)
+		replica.apply([]Item{NewItem("endpoints/c", []byte("centre-a"), 5)}, definer.NewPoint(0, 5))
 		usable("b")
-		replica.apply([]Item{RemovedItem("evacuate/centre-a", 6)}, 6)
+		replica.apply([]Item{RemovedItem("evacuate/centre-a", 6)}, definer.NewPoint(0, 6))
 		usable("a", "b", "c")
 	})
 }
--- a/internal/tracker/view.go
+++ b/internal/tracker/view.go
@@ -12,12 +12,14 @@
 	// endpoints holds the endpoints that accept new requests, by service; those of
 	// evacuated data centres are left out.
 	endpoints map[string][]definer.Endpoint
-	// evacuated holds the names of the data centres whose endpoints get no requests.
-	evacuated map[string]bool
-	// hosts holds the registered entry hosts, ordered by name.
-	hosts []definer.Host
-	// revision is the store's revision that the view is of.
-	revision uint64
+	// evacuated holds the names of the data centres whose endpoints get no requests, with
+	// the eras in which their entries were last read.
+	evacuated map[string]uint64
+	// hosts holds the registered entry hosts that do not leave, and members all of them,
+	// ordered by name.
+	hosts, members []definer.Host
+	// point is the point of the store that the view is of.
+	point definer.Point
 }
 
 var emptyView = View{table: new(definer.RouteTable)}
@@ -31,7 +33,10 @@
 func (view *View) Endpoints(service string) []definer.Endpoint { return view.endpoints[service] }
 
 // Evacuated reports whether the endpoints of a data centre get no requests.
-func (view *View) Evacuated(dataCentre string) bool { return view.evacuated[dataCentre] }
+func (view *View) Evacuated(dataCentre string) bool {
+	_, evacuated := view.evacuated[dataCentre]
+	return evacuated
+}
 
 // Names returns the names of all endpoints that accept new requests.
 func (view *View) Names() map[string]bool {
@@ -44,21 +49,16 @@
 	return names
 }
 
-// Hosts returns the registered entry hosts; callers must not change the slice.
+// Hosts returns the registered entry hosts that do not leave; callers must not change the
+// slice.
 func (view *View) Hosts() []definer.Host { return view.hosts }
 
-// Has reports whether the host called name is registered.
-func (view *View) Has(name string) bool {
-	for _, host := range view.hosts {
-		if host.Name() == name {
-			return true
-		}
-	}
-	return false
-}
+// Members returns the registered entry hosts, also those that leave; callers must not
+// change the slice.
+func (view *View) Members() []definer.Host { return view.members }
 
-// Revision returns the store's revision that the view is of.
-func (view *View) Revision() uint64 { return view.revision }
+// Point returns the point of the store that the view is of.
+func (view *View) Point() definer.Point { return view.point }
 
 // Decoder decodes the values of the store.
 type Decoder interface {
