loader: the price of a byte between data centres and regions

Cause: the prices were constants of placer, and deployments have other prices. Change: [routing] data-centre-byte-price and region-byte-price, with the former constants as defaults.

--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -49,6 +49,8 @@
 	policy            string
 	holdTime          time.Duration
 	regionBytesPerSec int
+	centreBytePrice   time.Duration
+	regionBytePrice   time.Duration
 	claimShards       int
 	claimRetention    time.Duration
 	maxClaims         int
@@ -176,6 +178,12 @@
 // RegionBytesPerSecond bounds the traffic of loans from each other region.
 func (settings *Settings) RegionBytesPerSecond() int { return settings.regionBytesPerSec }
 
+// DataCentreBytePrice is the delay that a byte between data centres of a region is worth.
+func (settings *Settings) DataCentreBytePrice() time.Duration { return settings.centreBytePrice }
+
+// RegionBytePrice is the delay that a byte between regions is worth.
+func (settings *Settings) RegionBytePrice() time.Duration { return settings.regionBytePrice }
+
 // ClaimShards is the number of shards of the claims on keys.
 func (settings *Settings) ClaimShards() int { return settings.claimShards }
 
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -146,6 +146,16 @@
 		doc: "The bound on bytes per second for loans from each other region, including the requests and answers on borrowed slots.",
 		set: number(0, 100000000, func(settings *Settings) *int { return &settings.regionBytesPerSec }),
 	},
+	{
+		section: "routing", key: "data-centre-byte-price", defaultValue: "800ns", allowed: "a time from 0s to 1ms",
+		doc: "The delay that sending a byte of a request or answer between data centres of a region is worth; a gateway's requests leave their data centre if that saves more.",
+		set: duration("0s", "1ms", func(settings *Settings) *time.Duration { return &settings.centreBytePrice }),
+	},
+	{
+		section: "routing", key: "region-byte-price", defaultValue: "1500ns", allowed: "a time from 0s to 1ms",
+		doc: "The delay that sending a byte of a request or answer between regions is worth; a gateway's requests leave their region if that saves more.",
+		set: duration("0s", "1ms", func(settings *Settings) *time.Duration { return &settings.regionBytePrice }),
+	},
 	{
 		section: "routing", key: "connect-timeout", defaultValue: "250ms", allowed: "a time from 1ms to 1m",
 		doc: "The timeout of a connection attempt to a backend server.",
