sender: connects and health checks measure round trips

Cause: the round trips between data centres were constants. Change: a surveyor gets the time of each connect and of each health check up to the head of its answer, which an endpoint sends at once. Result: go test ./internal/sender passes.

--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -50,10 +50,12 @@
 
 // dial opens a connection to endpoint.
 func (sender *Sender) dial(ctx context.Context, endpoint definer.Endpoint) (*connection, error) {
+	start := time.Now()
 	conn, err := sender.dialer.DialContext(ctx, "tcp", endpoint.Address())
 	if err != nil {
 		return nil, err
 	}
+	sender.surveyor.RecordRoundTrip(time.Now(), endpoint.Place(), time.Since(start))
 	connection := &connection{Conn: conn, number: sender.dialed.Add(1), key: connectionKey(endpoint), readLimit: math.MaxInt64}
 	connection.reader = bufio.NewReaderSize(&limitedReader{connection: connection}, bufferBytes)
 	connection.lastUsed = time.Now()
--- a/internal/sender/probe.go
+++ b/internal/sender/probe.go
@@ -42,6 +42,7 @@
 	stop := context.AfterFunc(ctx, connection.interrupt)
 	defer stop()
 	head := connection.head(http.MethodGet, endpoint.HealthPath(), endpoint.Address(), nil, 0)
+	start := time.Now()
 	if _, err := connection.Write(head.Bytes()); err != nil {
 		return definer.Report{}, err
 	}
@@ -49,10 +50,12 @@
 	if err != nil {
 		return definer.Report{}, err
 	}
+	answered := time.Now()
 	report, ok := sender.dialect.Health(response, endpoint)
 	if !ok {
 		return definer.Report{}, errors.New("received another response instead of the health check's")
 	}
+	sender.surveyor.RecordRoundTrip(time.Now(), endpoint.Place(), answered.Sub(start))
 	sender.observer.Record(time.Now(), endpoint, report)
 	count, err := io.CopyN(io.Discard, response.Body, maxDiscardBytes)
 	if err != io.EOF || count >= maxDiscardBytes || !delimited(response) || !stop() {
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -47,6 +47,7 @@
 	dialer    net.Dialer
 	dialect   Dialect
 	observer  Observer
+	surveyor  Surveyor
 	headBytes int
 	// freshness is the longest idle time after which a pooled connection carries
 	// an at-most-once request without a health check.
@@ -60,7 +61,7 @@
 // and rejects a response whose head exceeds headBytes bytes.
 func New(connectTimeout time.Duration, headBytes int) *Sender {
 	return &Sender{
-		dialer: dialer.New(connectTimeout), dialect: Plain{}, observer: discardObserver{},
+		dialer: dialer.New(connectTimeout), dialect: Plain{}, observer: discardObserver{}, surveyor: discardSurveyor{},
 		headBytes: headBytes, freshness: defaultFreshness,
 	}
 }
@@ -81,6 +82,22 @@
 // SetObserver sets the observer of what endpoints state. Call it before the first use.
 func (sender *Sender) SetObserver(observer Observer) { sender.observer = observer }
 
+// Surveyor learns how far data centres are.
+type Surveyor interface {
+	// RecordRoundTrip records a measured round trip to an endpoint at place.
+	RecordRoundTrip(now time.Time, place definer.Place, measured time.Duration)
+}
+
+// discardSurveyor is the default surveyor.
+type discardSurveyor struct{}
+
+// RecordRoundTrip does nothing.
+func (discardSurveyor) RecordRoundTrip(time.Time, definer.Place, time.Duration) {}
+
+// SetSurveyor sets the surveyor, which gets the times of connects and health checks. Call
+// it before the first use.
+func (sender *Sender) SetSurveyor(surveyor Surveyor) { sender.surveyor = surveyor }
+
 // SetDialect replaces the default dialect, [Plain].
 func (sender *Sender) SetDialect(dialect Dialect) { sender.dialect = dialect }
 
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -262,3 +262,28 @@
 	}
 	wait.Wait()
 }
+
+// surveyor counts round trips.
+type surveyor struct{ count int }
+
+func (surveyor *surveyor) RecordRoundTrip(_ time.Time, _ definer.Place, measured time.Duration) {
+	if measured > 0 {
+		surveyor.count++
+	}
+}
+
+// TestRoundTripsMeasured checks that each connect and each health check measures a round
+// trip.
+func TestRoundTripsMeasured(t *testing.T) {
+	backend, surveyor := startBackend(t, okResponse, okResponse, okResponse), &surveyor{}
+	sender := New(time.Second, 64<<10)
+	sender.SetSurveyor(surveyor)
+	for range 2 {
+		if _, err := sender.Probe(t.Context(), backend.endpoint().WithHealthPath("/health")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if surveyor.count != 3 {
+		t.Errorf("%d round trips are measured by one connect and two health checks, want 3", surveyor.count)
+	}
+}
