placer, assigner: package offloader decides which requests leave

Beside another data centre of the region, all 17 hosts left at once, and requests left for noise. Change: Tier.Needed asks for the share of the request's draw; a request that can't be answered in time at home, or would be refused there, may always leave. The last slots of an endpoint are for the callers of its data centre. A request that would be refused goes to an endpoint elsewhere whatever its bytes cost. The costs of bytes include the request's body.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -82,7 +82,7 @@
 // Acquire chooses an endpoint for request and returns a slot there. Its error is
 // a *refuser.Refusal.
 func (assigner *Assigner) Acquire(ctx context.Context, request router.Request) (dispatcher.Slot, error) {
-	start := time.Now()
+	start, draw := time.Now(), rand.Float64()
 	for round := 0; ; round++ {
 		// Endpoints may leave, and data centres may be evacuated, while the request waits.
 		endpoints := inRegions(assigner.directory.Endpoints(request.Pool()), request.Regions())
@@ -90,7 +90,8 @@
 			return nil, refuse(refuser.KindNoEndpoint, "no endpoint of "+request.Pool()+" is known that may get the request")
 		}
 		placerRequest := placer.NewRequest(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid()).
-			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority())
+			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority()).
+			WithBytes(request.Bytes()).WithDraw(draw).WithWaited(time.Since(start))
 		choice, candidates := assigner.choose(ctx, endpoints, placerRequest)
 		if err := ended(ctx); err != nil {
 			return nil, err
@@ -174,13 +175,18 @@
 	var candidates []placer.Candidate
 	var choice placer.Choice
 	start := time.Now()
-	for _, tier := range assigner.placer.Tiers(start, assigner.permitter.Candidates(start, endpoints), request) {
+	probed, tiers := 0, assigner.placer.Tiers(start, assigner.permitter.Candidates(start, endpoints), request)
+	for _, tier := range tiers {
 		if ctx.Err() != nil || !tier.Needed(choice) {
 			break
 		}
+		probed++
 		candidates = append(candidates, assigner.probeTier(ctx, tier.Endpoints())...)
 		choice = assigner.placer.Choose(time.Now(), assigner.permitted(candidates), request)
 	}
+	if ctx.Err() == nil {
+		assigner.placer.RecordRound(time.Now(), tiers, probed, assigner.permitted(candidates), request)
+	}
 	return choice, candidates
 }
 
@@ -297,6 +303,7 @@
 func (assigner *Assigner) slot(choice placer.Choice, request placer.Request) *slot {
 	endpoint := choice.Endpoint()
 	assigner.placer.RecordStart(endpoint.Name())
+	assigner.placer.RecordSent(choice)
 	return &slot{assigner: assigner, endpoint: endpoint, request: request, forecast: choice.Forecast()}
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -93,6 +93,7 @@
 		router.AsHedge(call.hedging),
 		router.ForAccount(call.plan.account),
 		router.InRegions(call.plan.regions),
+		router.WithBytes(call.Length()),
 		router.Isolated(call.isolated),
 		router.Avoiding(call.tried...),
 	)
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -146,6 +146,7 @@
 		view := gateway.tracker.View()
 		gateway.placer.Forget(view.Names())
 		gateway.permitter.Forget(view.Names())
+		gateway.offloader.Sweep(time.Now())
 		gateway.permitter.SetHosts(time.Now(), view.Hosts())
 		maxHosts = max(maxHosts, len(view.Hosts()))
 		settings := gateway.current.Load()
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -39,6 +39,7 @@
 	"github.com/chivespool/chivespool/internal/loader"
 	"github.com/chivespool/chivespool/internal/logger"
 	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/offloader"
 	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
 	"github.com/chivespool/chivespool/internal/quarantiner"
@@ -86,6 +87,7 @@
 	tracker    *tracker.Tracker
 	enroller   *enroller.Enroller
 	placer     *placer.Placer
+	offloader  *offloader.Offloader
 	permitter  *permitter.Permitter
 	sender     *sender.Sender
 	dispatcher *dispatcher.Dispatcher
@@ -165,6 +167,12 @@
 	gateway.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeaderBytes())
 	gateway.sender.SetDialect(platform.Dialect{})
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
+	gateway.offloader = offloader.New(gateway.self.Place())
+	gateway.offloader.SetBytePrices(settings.DataCentreBytePrice(), settings.RegionBytePrice())
+	gateway.offloader.SetJournal(gateway.log)
+	gateway.offloader.SetRegistry(gateway.registry)
+	gateway.placer.SetOffloader(gateway.offloader)
+	gateway.sender.SetSurveyor(gateway.offloader)
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
 	gateway.permitter.SetColdRates(gateway)
 	gateway.sender.SetObserver(gateway.permitter)
--- a/internal/placer/emulation_test.go
+++ b/internal/placer/emulation_test.go
@@ -18,6 +18,8 @@
 	deadline, timeout time.Duration
 	perSecond, worth  float64
 	rank              int
+	// bytes is the size of a request without its answer.
+	bytes int64
 }
 
 // emulatedService is a service in an emulated deployment.
@@ -75,7 +77,12 @@
 	first, arrived time.Duration
 	retried        bool
 	started        time.Duration
-	forecast       Forecast
+	// draw decides whether the request is one of the share that may leave.
+	draw     float64
+	forecast Forecast
+	// tiers are those of the current round, of which probed were probed.
+	tiers  []Tier
+	probed int
 }
 
 // event is a step of a job at a time.
@@ -109,6 +116,8 @@
 	placers   []*Placer
 	// judge decides on choices.
 	judge func(choice Choice, candidates []Candidate, waited time.Duration) Verdict
+	// nextHost returns the host that a caller refused by host returns to.
+	nextHost func(host int) int
 	// probes counts probes, and inTime, late, refused and lost requests by class.
 	probes              int
 	asked, inTime, late map[string]int
@@ -128,6 +137,7 @@
 		refused: make(map[string]int), lost: make(map[string]int),
 		judge: func(choice Choice, _ []Candidate, waited time.Duration) Verdict { return Judge(choice, waited) },
 	}
+	emulation.nextHost = func(int) int { return emulation.random.IntN(emulation.hosts) }
 	for host := range deployment.hosts {
 		emulation.placers = append(emulation.placers, New(emulatedPlaces[host%len(emulatedPlaces)], seed+uint64(host)))
 	}
@@ -256,7 +266,8 @@
 
 func (emulation *emulation) request(job *job) Request {
 	return NewRequest(job.class.name, emulation.left(job), job.class.target, nil).
-		WithCallerTime(job.class.deadline - (emulation.now - job.first)).WithPriority(-job.class.rank)
+		WithCallerTime(job.class.deadline - (emulation.now - job.first)).WithPriority(-job.class.rank).
+		WithDraw(job.draw).WithWaited(emulation.now - job.arrived).WithBytes(job.class.bytes)
 }
 
 // left returns the time until an attempt ends without an answer.
@@ -275,6 +286,7 @@
 		endpoints = append(endpoints, endpoint.endpoint)
 	}
 	tiers := placer.Tiers(emulation.time(), endpoints, emulation.request(job))
+	job.tiers, job.probed = tiers, 0
 	emulation.probe(job, waited, tiers, nil, Choice{})
 }
 
@@ -284,6 +296,7 @@
 		return
 	}
 	placer := emulation.placers[job.host]
+	job.probed++
 	roundTrip := time.Duration(0)
 	for _, endpoint := range tiers[0].Endpoints() {
 		emulation.probes++
@@ -302,6 +315,7 @@
 
 func (emulation *emulation) decide(job *job, waited time.Duration, candidates []Candidate, choice Choice) {
 	placer := emulation.placers[job.host]
+	placer.RecordRound(emulation.time(), job.tiers, job.probed, candidates, emulation.request(job))
 	verdict := emulation.judge(choice, candidates, waited)
 	if verdict == Wait {
 		pause := ProbeInterval/2 + time.Duration(emulation.random.Int64N(int64(ProbeInterval)))
@@ -317,6 +331,7 @@
 	}
 	endpoint := emulation.byName[choice.Endpoint().Name()]
 	placer.RecordStart(endpoint.endpoint.Name())
+	placer.RecordSent(choice)
 	job.started, job.forecast = emulation.now, choice.Forecast()
 	amount := job.class.work.Seconds() * math.Exp(0.3*emulation.random.NormFloat64())
 	if emulation.random.Float64() < 0.03 {
@@ -338,7 +353,7 @@
 	delay := RetryAfter(emulation.random.Float64())
 	emulation.schedule(min(delay, (refused.class.deadline-(emulation.now-refused.first))/3), func() {
 		again.arrived = emulation.now
-		again.host = emulation.random.IntN(emulation.hosts)
+		again.host = emulation.nextHost(refused.host)
 		emulation.place(&again, 0)
 	})
 }
--- a/internal/placer/forecast.go
+++ b/internal/placer/forecast.go
@@ -138,6 +138,9 @@
 		// average a slot becomes free after 1/slots of it.
 		forecast.queue = float64(report.Waiting()+1) / float64(slots)
 	}
+	if forecast.nearlyFull && placer.distance(endpoint) != distanceCentre {
+		forecast.crowded = true // The last slots are for the callers of the endpoint's data centre.
+	}
 	forecast.run = class.normalRun * factor * (1 + forecast.queue)
 	return forecast
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,18 +19,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
-)
-
-// The costs of a choice beside the run time, as durations.
-const (
-	// regionRoundTrip is the extra round-trip time between regions.
-	regionRoundTrip = 24 * time.Millisecond
-	// centreRoundTrip is the extra round-trip time between data centres of a region.
-	centreRoundTrip = 2 * time.Millisecond
-	// regionByteCost and centreByteCost are the costs of a byte over billed links:
-	// 100 kB between regions weigh as much as 150 ms, between data centres as 80 ms.
-	regionByteCost = 1500 * time.Nanosecond
-	centreByteCost = 800 * time.Nanosecond
+	"github.com/chivespool/chivespool/internal/offloader"
 )
 
 // The model of an endpoint.
@@ -68,6 +57,8 @@
 // one with New. It is safe for concurrent use.
 type Placer struct {
 	place definer.Place
+	// offloader decides which requests may leave the data centre; set before the first use.
+	offloader *offloader.Offloader
 	// mu guards the fields below.
 	mu sync.Mutex
 	// records holds the record of each endpoint by name.
@@ -123,12 +114,16 @@
 // same choices.
 func New(place definer.Place, seed uint64) *Placer {
 	return &Placer{
-		place: place, records: make(map[string]*record), classes: make(map[string]*class),
+		place: place, offloader: offloader.New(place), records: make(map[string]*record), classes: make(map[string]*class),
 		pools:  make(map[string]*effects),
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
 }
 
+// SetOffloader replaces the offloader, which has the default prices. Call it before the
+// first use.
+func (placer *Placer) SetOffloader(offloader *offloader.Offloader) { placer.offloader = offloader }
+
 // Request holds the properties of a request that its placement depends on.
 type Request struct {
 	class string
@@ -143,6 +138,13 @@
 	priority int
 	// avoid names endpoints that were tried already.
 	avoid []string
+	// bytes is the size of the request without its answer.
+	bytes int64
+	// draw is a random number from 0 to 1 by which the request is one of the share that
+	// may leave the data centre.
+	draw float64
+	// waited is the time for which the request has waited for capacity.
+	waited time.Duration
 }
 
 // NewRequest returns the properties of a request of class.
@@ -162,6 +164,25 @@
 	return request
 }
 
+// WithBytes returns a copy with the size of the request; negative if it is unknown.
+func (request Request) WithBytes(bytes int64) Request {
+	request.bytes = max(bytes, 0)
+	return request
+}
+
+// WithDraw returns a copy with the random number, from 0 to 1, that decides whether the
+// request is one of the share that may leave the data centre.
+func (request Request) WithDraw(draw float64) Request {
+	request.draw = draw
+	return request
+}
+
+// WithWaited returns a copy with the time for which the request has waited for capacity.
+func (request Request) WithWaited(waited time.Duration) Request {
+	request.waited = waited
+	return request
+}
+
 // Candidate is an endpoint with the report of its load.
 type Candidate struct {
 	endpoint definer.Endpoint
@@ -202,6 +223,10 @@
 	remaining time.Duration
 	// waitSuccessRate is the share of recent waits that found capacity.
 	waitSuccessRate float64
+	// mayLeave holds, by distance, whether the request may leave the data centre although
+	// it can be answered in time there; waited is the time for which it has waited.
+	mayLeave [distanceCount]bool
+	waited   time.Duration
 }
 
 // Endpoint returns the chosen endpoint.
@@ -245,7 +270,7 @@
 	best, least := Choice{}, math.Inf(1)
 	for _, candidate := range candidates {
 		forecast := placer.forecast(candidate, class)
-		cost := forecast.run*(1+placer.random.Float64()*costJitter[placer.distance(candidate.endpoint)]) + placer.networkCost(candidate.endpoint, class)
+		cost := forecast.run*(1+placer.random.Float64()*costJitter[placer.distance(candidate.endpoint)]) + placer.networkCost(candidate.endpoint, class, request)
 		cost *= placer.penalty(now, candidate, request)
 		if cost < least {
 			least = cost
@@ -259,12 +284,15 @@
 		best.timeBudget = request.target - (class.longestDeadline - max(request.callerTime, request.remaining))
 	}
 	best.waitSuccessRate = class.waitSuccessRate
+	best.waited = request.waited
 	if best.found {
+		best.mayLeave = placer.mayLeave(now, best.forecast.pool, class, request)
 		class.pool, class.priority = best.forecast.pool, request.priority
 		best.pressure = placer.effects(best.forecast.pool).recordChoice(now, best.forecast.crowded)
 		best.explores = placer.random.Float64() < exploreShare
 		best.yields = best.pressure >= yieldPressure && placer.isOutranked(best.forecast.pool, request)
 	}
+	best = placer.preferServed(now, best, candidates, class, request)
 	best.normalSpeed = best.found && !best.forecast.busy && float64(best.expectedRun) <= normalRunShare*class.normalRun
 	best.fastEnough = best.found && float64(best.expectedRun) <= fastEnoughShare*float64(min(max(request.target, 0), request.remaining))
 	return best
@@ -285,18 +313,6 @@
 	return penalty
 }
 
-// networkCost returns the cost of the network path to an endpoint, in
-// nanoseconds.
-func (placer *Placer) networkCost(endpoint definer.Endpoint, class *class) float64 {
-	switch placer.distance(endpoint) {
-	case distanceCentre:
-		return 0
-	case distanceRegion:
-		return float64(centreRoundTrip) + class.answerBytes*float64(centreByteCost)
-	}
-	return float64(regionRoundTrip) + class.answerBytes*float64(regionByteCost)
-}
-
 // class returns the class of a request, and adds it if it is new; mu is held.
 func (placer *Placer) class(request Request) *class {
 	found, ok := placer.classes[request.class]
--- a/internal/placer/tiers.go
+++ b/internal/placer/tiers.go
@@ -37,17 +37,17 @@
 	for _, group := range groups {
 		placer.sortByFailures(now, group)
 	}
-	for _, group := range groups[:distanceFar] {
+	for distance, group := range groups[:distanceFar] {
 		first := min(firstProbes, len(group))
 		if first > 0 {
-			tiers = append(tiers, Tier{endpoints: group[:first]})
+			tiers = append(tiers, Tier{endpoints: group[:first], distance: distance})
 		}
 		if len(group) > first {
 			tiers = append(tiers, Tier{endpoints: group[first:min(maxProbes, len(group))], additional: true})
 		}
 	}
 	if far := groups[distanceFar]; len(far) > 0 {
-		tiers = append(tiers, Tier{endpoints: far[:min(maxProbes, len(far))], far: true})
+		tiers = append(tiers, Tier{endpoints: far[:min(maxProbes, len(far))], far: true, distance: distanceFar})
 	}
 	rest := groups[distanceCount]
 	if len(tiers) > 0 {
@@ -63,6 +63,8 @@
 // Tier is a set of endpoints that are probed at once.
 type Tier struct {
 	endpoints []definer.Endpoint
+	// distance is that of the endpoints of a tier that is not the last resort.
+	distance int
 	// far is true for endpoints in other regions.
 	far bool
 	// lastResort is true for endpoints that are ejected or were tried already.
@@ -78,19 +80,24 @@
 // tiers before it. More endpoints at the same distance are probed unless the
 // chosen one has capacity and runs at normal speed: a probe within the region
 // costs less than a slow run. Endpoints that are ejected or were tried already
-// are probed only where no other answers. Other regions are probed only where the
-// host's own can't serve in time: the round trip is costly, and their reports are
-// stale on arrival.
+// are probed only where no other answers. Other data centres and regions are probed
+// where no nearer endpoint can serve in time or the request would be refused, and for the
+// share of the other requests that package offloader lets leave a place that is crowded or
+// slow.
 func (tier Tier) Needed(choice Choice) bool {
 	switch {
 	case tier.lastResort:
 		return !choice.found
-	case tier.far:
-		return !choice.found || choice.expectedRun > choice.timeBudget || choice.expectedRun > choice.remaining
+	case !choice.found:
+		return true
 	case tier.additional:
 		return !choice.fastEnough || !choice.normalSpeed
+	case choice.expectedRun > choice.timeBudget || choice.expectedRun > choice.remaining:
+		return true
+	case choice.fastEnough && !choice.forecast.crowded:
+		return false
 	}
-	return !choice.fastEnough || choice.forecast.crowded
+	return choice.mayLeave[tier.distance] || Judge(choice, choice.waited) == Refuse
 }
 
 // Distances of an endpoint from the host: the same data centre, the same region,
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -32,6 +32,8 @@
 	account *definer.Account
 	// regions are those whose endpoints may get the request; empty for all.
 	regions []string
+	// bytes is the size of the body, or -1 if it is unknown.
+	bytes int64
 }
 
 // RequestOption sets one property of a new request.
@@ -91,6 +93,9 @@
 	return func(request *Request) { request.regions = regions }
 }
 
+// WithBytes sets the size of the body; -1 if it is unknown.
+func WithBytes(bytes int64) RequestOption { return func(request *Request) { request.bytes = bytes } }
+
 // NewRequest returns a request for pool, short and of the default priority
 // unless an option sets another.
 func NewRequest(pool string, options ...RequestOption) Request {
@@ -139,5 +144,8 @@
 // Regions returns the regions whose endpoints may get the request; empty for all.
 func (request Request) Regions() []string { return request.regions }
 
+// Bytes returns the size of the body, or -1 if it is unknown.
+func (request Request) Bytes() int64 { return request.bytes }
+
 // Avoid returns the endpoints to use only if there is no other.
 func (request Request) Avoid() []string { return request.avoid }
