--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -91,7 +91,7 @@
 // Acquire chooses an endpoint for request and returns a slot there. Its error is
 // a *refuser.Refusal.
 func (assigner *Assigner) Acquire(ctx context.Context, request router.Request) (dispatcher.Slot, error) {
-	start, phase := time.Now(), pacer.Arriving
+	start, draw, phase := time.Now(), rand.Float64(), pacer.Arriving
 	var led *round
 	defer func() { assigner.finish(led) }()
 	for {
@@ -101,7 +101,8 @@
 			return nil, refuse(refuser.KindNoEndpoint, "no endpoint of "+request.Pool()+" is known that may get the request")
 		}
 		placerRequest := placer.NewRequest(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid()).
-			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority())
+			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority()).
+			WithBytes(request.Bytes()).WithDraw(draw).WithWaited(time.Since(start))
 		selection := assigner.choose(ctx, endpoints, placerRequest, phase)
 		choice := selection.Choice()
 		assigner.finish(led)
@@ -224,6 +225,7 @@
 func (assigner *Assigner) slot(choice placer.Choice, request placer.Request) *slot {
 	endpoint := choice.Endpoint()
 	assigner.placer.RecordStart(endpoint.Name())
+	assigner.placer.RecordSent(choice)
 	return &slot{assigner: assigner, endpoint: endpoint, request: request, forecast: choice.Forecast()}
 }
 
--- a/internal/assigner/selection.go
+++ b/internal/assigner/selection.go
@@ -17,6 +17,9 @@
 		assigner.probeTier(ctx, selection, phase)
 		selection.Compare(time.Now())
 	}
+	if ctx.Err() == nil {
+		selection.End(time.Now())
+	}
 	assigner.meters.reuse(selection.Reused())
 	return selection
 }
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -162,6 +162,7 @@
 		gateway.permitter.Forget(names)
 		gateway.pacer.Forget(names)
 		gateway.placer.SetHosts(gateway.self.Name(), view.Hosts())
+		gateway.offloader.Sweep(time.Now())
 		gateway.permitter.SetHosts(time.Now(), view.Hosts())
 		updater.updateThrottler()
 		maxHosts = max(maxHosts, len(view.Hosts()))
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -41,6 +41,7 @@
 	"github.com/chivespool/chivespool/internal/loader"
 	"github.com/chivespool/chivespool/internal/logger"
 	"github.com/chivespool/chivespool/internal/messenger"
+	"github.com/chivespool/chivespool/internal/offloader"
 	"github.com/chivespool/chivespool/internal/pacer"
 	"github.com/chivespool/chivespool/internal/permitter"
 	"github.com/chivespool/chivespool/internal/placer"
@@ -90,6 +91,7 @@
 	tracker    *tracker.Tracker
 	enroller   *enroller.Enroller
 	placer     *placer.Placer
+	offloader  *offloader.Offloader
 	permitter  *permitter.Permitter
 	pacer      *pacer.Pacer
 	assigner   *assigner.Assigner
@@ -179,6 +181,12 @@
 	gateway.sender = sender.New(settings.ConnectTimeout(), settings.AnswerHeaderBytes())
 	gateway.sender.SetDialect(platform.Dialect{})
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
+	gateway.offloader = offloader.New(gateway.self.Place())
+	gateway.offloader.SetBytePrices(settings.DataCentreBytePrice(), settings.RegionBytePrice())
+	gateway.offloader.SetJournal(gateway.log)
+	gateway.offloader.SetRegistry(gateway.registry)
+	gateway.placer.SetOffloader(gateway.offloader)
+	gateway.sender.SetSurveyor(gateway.offloader)
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
 	gateway.permitter.SetColdRates(gateway)
 	gateway.pacer = &pacer.Pacer{}
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -31,7 +31,9 @@
 	permitter Permitter
 	request   Request
 	phase     pacer.Phase
-	// tiers are those that have not been probed, and tier is the one to probe now.
+	// all holds all tiers, tiers those that have not been probed, and tier is the one to
+	// probe now.
+	all   []Tier
 	tiers []Tier
 	tier  Tier
 	// begun is true once a tier was probed.
@@ -39,20 +41,21 @@
 	// endpoints and readings hold the endpoints with a report, and their reports.
 	endpoints []definer.Endpoint
 	readings  []pacer.Reading
-	// choice is that among candidates, which are permitted or not. Seen counts the host's
+	// choice is that among the permitted ones of candidates. Seen counts the host's
 	// assignments that their reports include, by name.
-	choice     Choice
-	candidates []Candidate
-	seen       map[string]uint64
+	choice                Choice
+	candidates, permitted []Candidate
+	seen                  map[string]uint64
 	// reused counts the reports that were there already.
 	reused int
 }
 
 // Select begins the search for an endpoint for a request in a phase.
 func (placer *Placer) Select(now time.Time, pace *pacer.Pacer, permitter Permitter, endpoints []definer.Endpoint, request Request, phase pacer.Phase) *Selection {
+	tiers := placer.Tiers(now, endpoints, request)
 	return &Selection{
 		placer: placer, pacer: pace, permitter: permitter, request: request, phase: phase,
-		tiers: placer.Tiers(now, endpoints, request),
+		all: tiers, tiers: tiers,
 	}
 }
 
@@ -75,7 +78,7 @@
 		return false
 	}
 	selection.tier, selection.tiers = selection.tiers[0], selection.tiers[1:]
-	if selection.reuse(now, selection.tier.distance) {
+	if selection.reuse(now, selection.tier.group) {
 		selection.Compare(now)
 		return selection.tier.Needed(selection.choice)
 	}
@@ -162,15 +165,21 @@
 func (selection *Selection) Compare(now time.Time) {
 	selection.begun = true
 	selection.candidates, selection.seen = nil, make(map[string]uint64, len(selection.endpoints))
-	var permitted []Candidate
+	selection.permitted = nil
 	for index, endpoint := range selection.endpoints {
 		report, seen := selection.pacer.Current(selection.readings[index])
 		selection.seen[endpoint.Name()] = seen
 		candidate := NewCandidate(endpoint, report)
 		selection.candidates = append(selection.candidates, candidate)
 		if selection.permitter == nil || selection.permitter.Permits(now, endpoint) {
-			permitted = append(permitted, candidate)
+			selection.permitted = append(selection.permitted, candidate)
 		}
 	}
-	selection.choice = selection.placer.Choose(now, permitted, selection.request)
+	selection.choice = selection.placer.Choose(now, selection.permitted, selection.request)
+}
+
+// End records what the search has shown about the places of the endpoints.
+func (selection *Selection) End(now time.Time) {
+	probed := len(selection.all) - len(selection.tiers)
+	selection.placer.RecordRound(now, selection.all, probed, selection.permitted, selection.request)
 }
