--- /dev/null
+++ b/internal/sharer/silence.go
@@ -0,0 +1,56 @@
+package sharer
+
+import "time"
+
+const (
+	// initialTail is the assumed multiple of the expected run time that 1 in 100 runs
+	// exceed, before the first answers.
+	initialTail = 4
+	// tailShare is the share of runs that are longer than the tail.
+	tailShare = 0.01
+	// tailStep is the share by which one run that exceeds the tail raises it.
+	tailStep = 0.1
+	// minTail and maxTail bound the tail: the speed of an endpoint changes while it runs a
+	// request.
+	minTail = 2.5
+	maxTail = 8
+	// silenceMargin multiplies the tail: giving up a run that would end costs its slot
+	// time, and a repeat.
+	silenceMargin = 1.2
+	// minSilence is the shortest silence that counts: pauses of a busy machine are shorter.
+	minSilence = 200 * time.Millisecond
+)
+
+// Tail is the multiple of the expected run time that few requests of a class exceed. The
+// zero value has the initial estimate.
+type Tail struct {
+	// factor is 0 before the first run.
+	factor float64
+}
+
+// value returns the multiple.
+func (tail *Tail) value() float64 {
+	if tail.factor == 0 {
+		return initialTail
+	}
+	return tail.factor
+}
+
+// Record learns from a complete run and the time that was expected when the endpoint was
+// chosen.
+func (tail *Tail) Record(run, expected time.Duration) {
+	factor := tail.value()
+	if float64(run) > factor*float64(expected) {
+		factor *= 1 + tailStep*(1-tailShare)
+	} else {
+		factor *= 1 - tailStep*tailShare
+	}
+	tail.factor = min(max(factor, minTail), maxTail)
+}
+
+// SilenceLimit returns the time after which an endpoint's silence is not explained by the
+// work of a request. Expected is the run time by the class's learned run time, and the
+// slowdown and queue in the endpoint's report.
+func (tail *Tail) SilenceLimit(expected time.Duration) time.Duration {
+	return max(minSilence, time.Duration(silenceMargin*tail.value()*float64(expected)))
+}
