placer, assigner: fair shares of accounts under pressure

Accounts have ranks, so that the priorities of a class's requests vary; placer kept that of the latest request. It now keeps the highest one of the last 5 s.

Requests with an account get a standing from package sharer. One that is held back leaves the last slots of an endpoint to others and waits only for the guaranteed share. The Retry-After of a rejection under pressure is spread up to the last useful start, and is at most a third of the caller's time. The assigner counts rejections by reason and logs the standing of each request. Requests without an account are judged as before; the tests of placer hold unchanged. The emulation gets accounts, bounded queues and bursts.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -68,6 +68,7 @@
 	journal   Journal
 	// probes counts the probes sent.
 	probes atomic.Int64
+	meters meters
 }
 
 // New returns an assigner whose choices are made by placer among the endpoints that
@@ -90,7 +91,11 @@
 			return nil, refuse(refuser.KindNoEndpoint, "no endpoint of "+request.Pool()+" is known that may get the request")
 		}
 		placerRequest := placer.NewRequest(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid()).
-			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority())
+			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority()).
+			WithAccount(request.Account()).WithWaited(time.Since(start))
+		if round == 0 {
+			assigner.placer.RecordArrival(start, request.Pool(), placerRequest)
+		}
 		choice, candidates := assigner.choose(ctx, endpoints, placerRequest)
 		if err := ended(ctx); err != nil {
 			return nil, err
@@ -102,12 +107,13 @@
 		if verdict == placer.Wait && pause(ctx) {
 			continue
 		}
-		if round > 0 {
+		if round > 0 && !choice.Standing().HeldBack() {
 			assigner.placer.RecordWait(placerRequest, choice.HasCapacity())
 		}
 		if verdict == placer.Serve && !assigner.permitter.Take(time.Now(), choice.Endpoint()) {
 			continue // Another request has used the permit since the choice.
 		}
+		assigner.recordVerdict(request, placerRequest, choice, verdict == placer.Serve)
 		if verdict == placer.Serve {
 			assigner.logChoice(request, choice, candidates, time.Since(start))
 			return assigner.slot(choice, placerRequest), nil
@@ -118,7 +124,8 @@
 		if !choice.Found() {
 			return nil, assigner.refuseUnserved(request, endpoints, candidates)
 		}
-		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time: "+describe(candidates))
+		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time ("+choice.Standing().String()+
+			"): "+describe(candidates)).WithRetryAfter(choice.RetryAfter(rand.Float64()))
 	}
 }
 
@@ -196,7 +203,7 @@
 func (assigner *Assigner) logChoice(request router.Request, choice placer.Choice, candidates []placer.Candidate, waited time.Duration) {
 	age, revision := assigner.directory.Freshness()
 	assigner.journal.Routine("assigned", "request", request.ID(), "endpoint", choice.Endpoint().Name(),
-		"expected", choice.ExpectedRun(), "asked", describe(candidates), "waited", waited, "belief-age", age, "revision", revision)
+		"expected", choice.ExpectedRun(), "standing", choice.Standing().String(), "asked", describe(candidates), "waited", waited, "belief-age", age, "revision", revision)
 }
 
 // describe lists the load that each endpoint reported and the limit that it named, and
@@ -297,7 +304,10 @@
 func (assigner *Assigner) slot(choice placer.Choice, request placer.Request) *slot {
 	endpoint := choice.Endpoint()
 	assigner.placer.RecordStart(endpoint.Name())
-	return &slot{assigner: assigner, endpoint: endpoint, request: request, forecast: choice.Forecast()}
+	return &slot{
+		assigner: assigner, endpoint: endpoint, request: request, forecast: choice.Forecast(),
+		silenceLimit: assigner.placer.SilenceLimit(request, choice.Forecast()),
+	}
 }
 
 // slot is the assignment of one request to an endpoint.
@@ -307,18 +317,32 @@
 	request  placer.Request
 	// forecast is that of the choice.
 	forecast placer.Forecast
-	released atomic.Bool
+	// silenceLimit is the time after which the endpoint's silence is not explained by the
+	// request's work.
+	silenceLimit time.Duration
+	released     atomic.Bool
 }
 
 // Endpoint returns the endpoint that the request is assigned to.
 func (slot *slot) Endpoint() definer.Endpoint { return slot.endpoint }
 
+// SilenceLimit returns the time after which the endpoint's silence is not explained by the
+// request's work.
+func (slot *slot) SilenceLimit() time.Duration { return slot.silenceLimit }
+
+// RecordSilence records that the endpoint has been silent beyond the limit, before the
+// outcome of the request is known.
+func (slot *slot) RecordSilence() {
+	slot.assigner.placer.RecordFailure(time.Now(), slot.endpoint.Name(), silenceWeight)
+}
+
 // Weights of outcomes in the failure score of an endpoint.
 const (
 	crashWeight     = 1
 	failureWeight   = 0.5
 	cancelledWeight = 0.3
 	shedWeight      = 0.3
+	silenceWeight   = 0.5
 )
 
 // Release records the outcome of the request. Further calls have no effect.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -172,6 +172,7 @@
 		suspectLimits(), suspectLists)
 	gateway.verifier = verifier.New(gateway.quarantiner, gateway.sender, gateway.log)
 	assigner := assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
+	assigner.SetRegistry(gateway.registry)
 	gateway.dispatcher = dispatcher.New(nil, assigner, gateway.sender, gateway.recorder)
 	gateway.dispatcher.SetPlanner(dispatcher.NewRoutePlanner(gateway))
 	gateway.dispatcher.SetLimits(settings.MaxAttempts(), settings.RequestTimeout(), settings.RetryShare())
--- a/internal/placer/emulation_test.go
+++ b/internal/placer/emulation_test.go
@@ -18,12 +18,19 @@
 	deadline, timeout time.Duration
 	perSecond, worth  float64
 	rank              int
+	// account is that of the callers; nil if there is none.
+	account *definer.Account
+	// group names the class at the placers, if it isn't name.
+	group string
 }
 
 // emulatedService is a service in an emulated deployment.
 type emulatedService struct {
 	name             string
 	endpoints, slots int
+	// queue is the number of requests that an endpoint queues; it never answers another
+	// one. 0 is for any number.
+	queue int
 	// broken is the number of endpoints that are slowed down brokenSlowdown times.
 	broken         int
 	brokenSlowdown float64
@@ -40,6 +47,10 @@
 	// crowdedSlowdown is the slowdown of an endpoint with more than 0.8 of its slots in
 	// use.
 	crowdedSlowdown float64
+	// load returns the factor of the number of requests at a time; nil for 1.
+	load func(now time.Duration) float64
+	// returnDelay is the delay of callers that ignore Retry-After; 0 if they heed it.
+	returnDelay time.Duration
 }
 
 const (
@@ -56,7 +67,7 @@
 // emulatedEndpoint runs up to its slots of work at once and queues the rest.
 type emulatedEndpoint struct {
 	endpoint         definer.Endpoint
-	slots            int
+	slots, queue     int
 	fixed, noise     float64
 	running, waiting []work
 }
@@ -113,6 +124,10 @@
 	probes              int
 	asked, inTime, late map[string]int
 	refused, lost       map[string]int
+	// returned counts the requests that were refused once, by class.
+	returned map[string]int
+	// hung counts the requests that reached a full queue.
+	hung int
 }
 
 var emulatedPlaces = []definer.Place{
@@ -125,7 +140,7 @@
 		deployment: deployment, random: rand.New(rand.NewPCG(seed, 1)),
 		endpoints: make(map[string][]*emulatedEndpoint), byName: make(map[string]*emulatedEndpoint),
 		asked: make(map[string]int), inTime: make(map[string]int), late: make(map[string]int),
-		refused: make(map[string]int), lost: make(map[string]int),
+		refused: make(map[string]int), lost: make(map[string]int), returned: make(map[string]int),
 		judge: func(choice Choice, _ []Candidate, waited time.Duration) Verdict { return Judge(choice, waited) },
 	}
 	for host := range deployment.hosts {
@@ -137,7 +152,7 @@
 			name := fmt.Sprint(service.name, index)
 			added := &emulatedEndpoint{
 				endpoint: definer.NewEndpoint(name, service.name, "10.0.0.1:1", place, service.slots),
-				slots:    service.slots, fixed: 1, noise: 1,
+				slots:    service.slots, queue: service.queue, fixed: 1, noise: 1,
 			}
 			if index < service.broken {
 				added.fixed = service.brokenSlowdown
@@ -187,7 +202,11 @@
 }
 
 func (emulation *emulation) scheduleArrival(class *emulatedClass, length time.Duration) {
-	wait := time.Duration(emulation.random.ExpFloat64() / class.perSecond * float64(time.Second))
+	perSecond := class.perSecond
+	if emulation.load != nil {
+		perSecond *= emulation.load(emulation.now)
+	}
+	wait := time.Duration(emulation.random.ExpFloat64() / perSecond * float64(time.Second))
 	if emulation.now+wait > length {
 		return
 	}
@@ -255,8 +274,13 @@
 func (emulation *emulation) time() time.Time { return time.Unix(1, 0).Add(emulation.now) }
 
 func (emulation *emulation) request(job *job) Request {
-	return NewRequest(job.class.name, emulation.left(job), job.class.target, nil).
-		WithCallerTime(job.class.deadline - (emulation.now - job.first)).WithPriority(-job.class.rank)
+	name := job.class.name
+	if job.class.group != "" {
+		name = job.class.group
+	}
+	return NewRequest(name, emulation.left(job), job.class.target, nil).
+		WithCallerTime(job.class.deadline - (emulation.now - job.first)).WithPriority(-job.class.rank).
+		WithAccount(job.class.account).WithWaited(emulation.now - job.arrived)
 }
 
 // left returns the time until an attempt ends without an answer.
@@ -274,6 +298,9 @@
 	for _, endpoint := range emulation.endpoints[job.class.service] {
 		endpoints = append(endpoints, endpoint.endpoint)
 	}
+	if waited == 0 {
+		placer.RecordArrival(emulation.time(), job.class.service, emulation.request(job))
+	}
 	tiers := placer.Tiers(emulation.time(), endpoints, emulation.request(job))
 	emulation.probe(job, waited, tiers, nil, Choice{})
 }
@@ -308,11 +335,12 @@
 		emulation.schedule(pause, func() { emulation.place(job, waited+pause) })
 		return
 	}
-	if waited > ProbeInterval {
+	placer.RecordVerdict(emulation.time(), job.class.service, emulation.request(job), verdict == Serve)
+	if waited > ProbeInterval && !choice.Standing().HeldBack() {
 		placer.RecordWait(emulation.request(job), choice.HasCapacity())
 	}
 	if verdict == Refuse {
-		emulation.refuse(job)
+		emulation.refuse(job, choice)
 		return
 	}
 	endpoint := emulation.byName[choice.Endpoint().Name()]
@@ -323,26 +351,15 @@
 		amount *= 7
 	}
 	emulation.schedule(emulatedRoundTrips[placer.distance(endpoint.endpoint)]/2, func() {
+		if endpoint.queue > 0 && len(endpoint.running) >= endpoint.slots && len(endpoint.waiting) >= endpoint.queue {
+			emulation.hung++
+			emulation.schedule(emulation.left(job), func() { emulation.giveUp(endpoint, job) })
+			return
+		}
 		endpoint.waiting = append(endpoint.waiting, work{left: amount, job: job})
 	})
 }
 
-// refuse lets the caller return once, after a random delay.
-func (emulation *emulation) refuse(refused *job) {
-	if refused.retried {
-		emulation.refused[refused.class.name]++
-		return
-	}
-	again := *refused
-	again.retried = true
-	delay := RetryAfter(emulation.random.Float64())
-	emulation.schedule(min(delay, (refused.class.deadline-(emulation.now-refused.first))/3), func() {
-		again.arrived = emulation.now
-		again.host = emulation.random.IntN(emulation.hosts)
-		emulation.place(&again, 0)
-	})
-}
-
 // credit returns the share of the worth of all requests that was earned: a late answer
 // earns a tenth.
 func (emulation *emulation) credit() float64 {
--- a/internal/placer/judge.go
+++ b/internal/placer/judge.go
@@ -38,20 +38,26 @@
 // therefore never joins the queue of an endpoint. It waits while it can still be
 // answered in time, but only for the guaranteed share once most waits fail. While most
 // endpoints are crowded, slots that slow an endpoint down are for requests of the
-// highest priority, and no slot is for a request that is too late already.
+// highest priority, and no slot is for a request that is too late already. A request that
+// package sharer holds back leaves the last slots of an endpoint to others, and waits only
+// for the guaranteed share.
 func Judge(choice Choice, waited time.Duration) Verdict {
 	if !choice.found {
 		return Refuse
 	}
 	forecast := choice.forecast
 	calm := choice.pressure < calmPressure
+	reserved := choice.standing.HeldBack() && forecast.nearlyFull
 	available := !forecast.crowded && !(choice.yields && forecast.busy) || (calm || choice.explores) && forecast.queue == 0
 	spare := forecast.idle || !forecast.busy && choice.pressure < yieldPressure || !forecast.crowded && calm
-	if available && choice.expectedRun <= choice.timeBudget || spare && choice.expectedRun <= choice.remaining {
+	if !reserved && (available && choice.expectedRun <= choice.timeBudget || spare && choice.expectedRun <= choice.remaining) {
 		return Serve
 	}
 	slack := choice.timeBudget - time.Duration((1+reserveShare)*float64(choice.normalRun))
 	maxWait := max(time.Duration(choice.waitSuccessRate*float64(slack+waited)), time.Duration(guaranteedWaitShare*float64(choice.timeBudget+waited)))
+	if choice.standing.HeldBack() {
+		maxWait = time.Duration(guaranteedWaitShare * float64(choice.timeBudget+waited))
+	}
 	if slack > ProbeInterval && waited+ProbeInterval <= maxWait {
 		return Wait
 	}
--- a/internal/placer/learn.go
+++ b/internal/placer/learn.go
@@ -27,6 +27,7 @@
 	record.connectFailures = 0
 	class := placer.class(request)
 	placer.learn(class, forecast, run)
+	class.tail.Record(run, time.Duration(forecast.run))
 	class.answerBytes += learningRate * (float64(bytes) - class.answerBytes)
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/chivespool/chivespool/internal/definer"
+	"github.com/chivespool/chivespool/internal/sharer"
 )
 
 // The costs of a choice beside the run time, as durations.
@@ -57,6 +58,9 @@
 	// deadlineDecay is the share of the difference by which a shorter deadline lowers the
 	// longest one.
 	deadlineDecay = 0.05
+	// priorityMemory is the time for which a class counts as one of a higher priority after
+	// a request of that priority. On one host some seconds pass between two of them.
+	priorityMemory = 5 * time.Second
 	// initialRunShare is the run time assumed for a class before its first
 	// answer, as a share of the target time.
 	initialRunShare = 1.0 / 3
@@ -77,6 +81,8 @@
 	// pools holds the effects of the reports of each pool's endpoints.
 	pools  map[string]*effects
 	random *rand.Rand
+	// sharer orders requests by account under pressure.
+	sharer sharer.Sharer
 }
 
 // record is the recent history of an endpoint.
@@ -106,8 +112,19 @@
 	waitSuccessRate float64
 	// pool is the pool that requests of the class were last placed in.
 	pool string
-	// priority is that of the latest request.
-	priority int
+	// priority is the highest of a request within priorityMemory, or that of the latest,
+	// as of priorityAt: requests of a class differ in the rank of their accounts.
+	priority   int
+	priorityAt time.Time
+	// tail tells how much longer than expected requests of the class run.
+	tail sharer.Tail
+}
+
+// recordPriority records the priority of a request.
+func (class *class) recordPriority(now time.Time, priority int) {
+	if priority >= class.priority || now.Sub(class.priorityAt) > priorityMemory {
+		class.priority, class.priorityAt = priority, now
+	}
 }
 
 // recordDeadline records the time until the deadline of a request's caller. A longer
@@ -143,6 +160,10 @@
 	priority int
 	// avoid names endpoints that were tried already.
 	avoid []string
+	// account is that of the caller; nil if there is none.
+	account *definer.Account
+	// waited is the time for which the request has waited on this host.
+	waited time.Duration
 }
 
 // NewRequest returns the properties of a request of class.
@@ -202,6 +223,10 @@
 	remaining time.Duration
 	// waitSuccessRate is the share of recent waits that found capacity.
 	waitSuccessRate float64
+	// callerLeft is the time until the caller's own deadline.
+	callerLeft time.Duration
+	// standing is the request's place among others under pressure.
+	standing sharer.Standing
 }
 
 // Endpoint returns the chosen endpoint.
@@ -253,16 +278,15 @@
 		}
 	}
 	best.normalRun = time.Duration(class.normalRun)
-	best.remaining = request.remaining
-	best.timeBudget = request.remaining
-	if request.target > 0 && class.normalRun <= float64(request.target) {
-		best.timeBudget = request.target - (class.longestDeadline - max(request.callerTime, request.remaining))
-	}
+	best.remaining, best.callerLeft = request.remaining, max(request.callerTime, request.remaining)
+	best.timeBudget = class.timeBudget(request)
 	best.waitSuccessRate = class.waitSuccessRate
 	if best.found {
-		class.pool, class.priority = best.forecast.pool, request.priority
+		class.pool = best.forecast.pool
+		class.recordPriority(now, request.priority)
 		best.pressure = placer.effects(best.forecast.pool).recordChoice(now, best.forecast.crowded)
 		best.explores = placer.random.Float64() < exploreShare
+		best.standing = placer.sharer.Standing(now, best.forecast.pool, best.pressure, class.claim(request))
 		best.yields = best.pressure >= yieldPressure && placer.isOutranked(best.forecast.pool, request)
 	}
 	best.normalSpeed = best.found && !best.forecast.busy && float64(best.expectedRun) <= normalRunShare*class.normalRun
