dispatcher: an endpoint that is silent for too long loses the attempt

Endpoints that hang when they are full never answer. A request there got its repeat at half of its target time, and only from the budget of hedges; the endpoint kept a clean record until the deadline.

A slot may now say how long silence is explained by the request's work (the learned run time of its class, the endpoint's report and how far runs exceed the forecast). Beyond that the failure is recorded with the endpoint and counted (dispatcher.silences); if the request may be repeated within its attempts and the retry budget, it is, and the connection is closed. Otherwise the attempt goes on until the deadline, with outcome unknown as before.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -38,6 +38,9 @@
 	// Misdirected means that another endpoint is at the address and rejected the
 	// request without running it.
 	Misdirected
+	// Silent means that the endpoint was silent for longer than the request's work
+	// explains, and that the connection was closed.
+	Silent
 )
 
 // String returns the cause's Proxy-Status error type (RFC 9209).
@@ -45,7 +48,7 @@
 	return [...]string{
 		"connection_refused", "destination_unavailable", "destination_unavailable",
 		"connection_terminated", "http_response_incomplete", "http_response_timeout", "http_request_error",
-		"destination_not_found",
+		"destination_not_found", "http_response_timeout",
 	}[cause]
 }
 
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -67,6 +67,7 @@
 	DeadlineExceeded: router.Cancelled,
 	Cancelled:        router.Cancelled,
 	Misdirected:      router.Draining,
+	Silent:           router.Failed,
 }
 
 // newMemoryBody returns a reader of a body in memory.
--- a/internal/dispatcher/meters.go
+++ b/internal/dispatcher/meters.go
@@ -14,6 +14,9 @@
 	requests metrics.Counter
 	retries  metrics.Counter
 	hedges   metrics.Counter
+	// silences counts the attempts whose endpoint was silent for longer than the request's
+	// work explains, and silenceRepeats those of them that were repeated.
+	silences, silenceRepeats metrics.Counter
 	// queued is the time that attempts waited for a slot.
 	queued metrics.Timer
 	// added is the time that the dispatcher adds to requests: the total until the head
@@ -29,8 +32,11 @@
 		requests: metrics.GetOrRegisterCounter("dispatcher.requests", registry),
 		retries:  metrics.GetOrRegisterCounter("dispatcher.retries", registry),
 		hedges:   metrics.GetOrRegisterCounter("dispatcher.hedges", registry),
+		silences: metrics.GetOrRegisterCounter("dispatcher.silences", registry),
 		queued:   metrics.GetOrRegisterTimer("dispatcher.queued", registry),
 		added:    metrics.GetOrRegisterTimer("dispatcher.added", registry),
+
+		silenceRepeats: metrics.GetOrRegisterCounter("dispatcher.silences.repeated", registry),
 	}
 }
 
@@ -52,6 +58,16 @@
 	}
 }
 
+func (meters *meters) silence(repeated bool) {
+	if meters.silences == nil {
+		return
+	}
+	meters.silences.Inc(1)
+	if repeated {
+		meters.silenceRepeats.Inc(1)
+	}
+}
+
 func (meters *meters) refusal(kind refuser.Kind) {
 	if meters.registry != nil {
 		metrics.GetOrRegisterCounter("dispatcher.refused."+string(kind), meters.registry).Inc(1)
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -25,8 +27,10 @@
 	ctx        context.Context
 	// running counts the attempts whose outcome is pending.
 	running int
-	// cancels holds the cancel function of each attempt started.
-	cancels []context.CancelFunc
+	// attempts holds the attempts started.
+	attempts []*attempt
+	// silence expires when an attempt may have become silent.
+	silence *time.Timer
 	// outcomes receives the outcome of each attempt.
 	outcomes chan outcome
 	// best is the answer to return, and winner the number of its attempt. An answer
@@ -50,8 +54,9 @@
 	dispatcher.budget.earn(call.service)
 	race := &race{
 		dispatcher: dispatcher, call: call, ctx: ctx,
-		outcomes: make(chan outcome), done: make(chan struct{}),
+		outcomes: make(chan outcome), done: make(chan struct{}), silence: time.NewTimer(math.MaxInt64),
 	}
+	defer race.silence.Stop()
 	defer race.cancelOthers()
 	if err := race.startAttempt(); err != nil {
 		return nil, err
@@ -69,6 +74,9 @@
 		case <-hedge.C:
 			call.externalTime += time.Since(waitStart)
 			race.hedge()
+		case <-race.silence.C:
+			call.externalTime += time.Since(waitStart)
+			race.handleSilence(time.Now())
 		}
 	}
 }
@@ -77,6 +85,7 @@
 // is done: with the best answer, or with a refusal.
 func (race *race) handleOutcome(outcome outcome) (done bool, err error) {
 	race.running--
+	race.attempts[outcome.number].ended = true
 	if outcome.err == nil {
 		race.keepAnswer(outcome)
 		return !race.retryServerError(), nil
@@ -146,14 +155,16 @@
 	return race.startAttempt()
 }
 
+// mayRepeat reports whether the call may have another attempt beside those that run.
+func (race *race) mayRepeat() bool {
+	return race.call.plan.repeatable && race.call.Buffered() && race.call.attempts.hasRemaining()
+}
+
 // hedge starts a second attempt beside a slow one, if the call and the budget
 // allow it.
 func (race *race) hedge() {
 	call, dispatcher := race.call, race.dispatcher
-	if race.running != 1 || !call.plan.repeatable || !call.Buffered() || !call.attempts.hasRemaining() {
-		return
-	}
-	if !dispatcher.budget.spendForHedge(call.service) {
+	if race.running != 1 || !race.mayRepeat() || !dispatcher.budget.spendForHedge(call.service) {
 		return
 	}
 	call.hedging = true
@@ -200,11 +211,12 @@
 	call.attempts.begin()
 	ctx, cancel := context.WithTimeout(race.ctx, left)
 	attempt := &attempt{
-		race: race, ctx: ctx, number: len(race.cancels),
+		race: race, ctx: ctx, cancel: cancel, number: len(race.attempts),
 		exchange: exchange{dispatcher: dispatcher, call: call, run: run, slot: slot, start: time.Now()},
 	}
-	race.cancels = append(race.cancels, cancel)
+	race.attempts = append(race.attempts, attempt)
 	race.running++
+	race.watch(attempt)
 	dispatcher.tasks.Add(1)
 	go attempt.run()
 	return nil
@@ -214,9 +226,9 @@
 // still to be read.
 func (race *race) cancelOthers() {
 	close(race.done)
-	for number, cancel := range race.cancels {
+	for number, attempt := range race.attempts {
 		if race.best == nil || number != race.winner {
-			cancel()
+			attempt.cancel()
 		}
 	}
 }
@@ -225,8 +237,18 @@
 type attempt struct {
 	race     *race
 	ctx      context.Context
+	cancel   context.CancelFunc
 	number   int
 	exchange exchange
+	// silentAt is when the endpoint's silence is no longer explained; zero for never. It
+	// and ended belong to the request's goroutine.
+	silentAt time.Time
+	// ended is true once the outcome is known.
+	ended bool
+	// answered is true once the head of the answer has arrived.
+	answered atomic.Bool
+	// givenUp is true once the attempt was cancelled because its endpoint is silent.
+	givenUp atomic.Bool
 }
 
 func (attempt *attempt) run() {
@@ -259,8 +281,9 @@
 	endpoint := exchange.slot.Endpoint()
 	answer, err := exchange.dispatcher.sender.Send(attempt.ctx, endpoint, exchange.call.Request)
 	if err != nil {
-		return nil, attempt.recordFailure(asFailure(err))
+		return nil, attempt.recordFailure(attempt.asSilent(asFailure(err)))
 	}
+	attempt.answered.Store(true)
 	answer.endpoint = endpoint.Name()
 	exchange.trackBody(answer)
 	return exchange.dispatcher.bufferAnswer(answer, exchange.call.plan.repeatable)
