--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -91,7 +91,7 @@
 // Acquire chooses an endpoint for request and returns a slot there. Its error is
 // a *refuser.Refusal.
 func (assigner *Assigner) Acquire(ctx context.Context, request router.Request) (dispatcher.Slot, error) {
-	start, draw, phase := time.Now(), rand.Float64(), pacer.Arriving
+	start, draw, phase, arrived := time.Now(), rand.Float64(), pacer.Arriving, false
 	var led *round
 	defer func() { assigner.finish(led) }()
 	for {
@@ -102,7 +102,11 @@
 		}
 		placerRequest := placer.NewRequest(request.Class(), time.Until(request.Deadline()), request.Target(), request.Avoid()).
 			WithCallerTime(time.Until(request.CallerDeadline())).WithPriority(request.Priority()).
-			WithBytes(request.Bytes()).WithDraw(draw).WithWaited(time.Since(start))
+			WithBytes(request.Bytes()).WithDraw(draw).WithAccount(request.Account()).WithWaited(time.Since(start))
+		if !arrived {
+			arrived = true
+			assigner.placer.RecordArrival(start, request.Pool(), placerRequest)
+		}
 		selection := assigner.choose(ctx, endpoints, placerRequest, phase)
 		choice := selection.Choice()
 		assigner.finish(led)
@@ -121,12 +125,13 @@
 				continue
 			}
 		}
-		if phase != pacer.Arriving {
+		if phase != pacer.Arriving && !choice.Standing().HeldBack() {
 			assigner.placer.RecordWait(placerRequest, choice.HasCapacity())
 		}
 		if verdict == placer.Serve && !assigner.take(choice.Endpoint(), selection.Seen()) {
 			continue // Another request has used the slot or the permit since the choice.
 		}
+		assigner.recordVerdict(request, placerRequest, choice, verdict == placer.Serve)
 		if verdict == placer.Serve {
 			assigner.logChoice(request, choice, selection.Candidates(), time.Since(start))
 			return assigner.slot(choice, placerRequest), nil
@@ -137,7 +142,8 @@
 		if !choice.Found() {
 			return nil, assigner.refuseUnserved(request, endpoints, selection.Candidates())
 		}
-		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time: "+describe(selection.Candidates()))
+		return nil, refuse(refuser.KindOverloaded, "no endpoint of "+request.Pool()+" can answer in time ("+choice.Standing().String()+
+			"): "+describe(selection.Candidates())).WithRetryAfter(choice.RetryAfter(rand.Float64()))
 	}
 }
 
@@ -194,7 +200,7 @@
 func (assigner *Assigner) logChoice(request router.Request, choice placer.Choice, candidates []placer.Candidate, waited time.Duration) {
 	age, revision := assigner.directory.Freshness()
 	assigner.journal.Routine("assigned", "request", request.ID(), "endpoint", choice.Endpoint().Name(),
-		"expected", choice.ExpectedRun(), "asked", describe(candidates), "waited", waited, "belief-age", age, "revision", revision)
+		"expected", choice.ExpectedRun(), "standing", choice.Standing().String(), "asked", describe(candidates), "waited", waited, "belief-age", age, "revision", revision)
 }
 
 // describe lists the load that each endpoint reported and the limit that it named, and
@@ -226,7 +232,10 @@
 	endpoint := choice.Endpoint()
 	assigner.placer.RecordStart(endpoint.Name())
 	assigner.placer.RecordSent(choice)
-	return &slot{assigner: assigner, endpoint: endpoint, request: request, forecast: choice.Forecast()}
+	return &slot{
+		assigner: assigner, endpoint: endpoint, request: request, forecast: choice.Forecast(),
+		silenceLimit: assigner.placer.SilenceLimit(request, choice.Forecast()),
+	}
 }
 
 // slot is the assignment of one request to an endpoint.
@@ -236,18 +245,32 @@
 	request  placer.Request
 	// forecast is that of the choice.
 	forecast placer.Forecast
-	released atomic.Bool
+	// silenceLimit is the time after which the endpoint's silence is not explained by the
+	// request's work.
+	silenceLimit time.Duration
+	released     atomic.Bool
 }
 
 // Endpoint returns the endpoint that the request is assigned to.
 func (slot *slot) Endpoint() definer.Endpoint { return slot.endpoint }
 
+// SilenceLimit returns the time after which the endpoint's silence is not explained by the
+// request's work.
+func (slot *slot) SilenceLimit() time.Duration { return slot.silenceLimit }
+
+// RecordSilence records that the endpoint has been silent beyond the limit, before the
+// outcome of the request is known.
+func (slot *slot) RecordSilence() {
+	slot.assigner.placer.RecordFailure(time.Now(), slot.endpoint.Name(), silenceWeight)
+}
+
 // Weights of outcomes in the failure score of an endpoint.
 const (
 	crashWeight     = 1
 	failureWeight   = 0.5
 	cancelledWeight = 0.3
 	shedWeight      = 0.3
+	silenceWeight   = 0.5
 )
 
 // Release records the outcome of the request. Further calls have no effect.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -20,6 +20,7 @@
 
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/offloader"
+	"github.com/chivespool/chivespool/internal/sharer"
 )
 
 // The model of an endpoint.
@@ -46,6 +47,9 @@
 	// deadlineDecay is the share of the difference by which a shorter deadline lowers the
 	// longest one.
 	deadlineDecay = 0.05
+	// priorityMemory is the time for which a class counts as one of a higher priority after
+	// a request of that priority. On one host some seconds pass between two of them.
+	priorityMemory = 5 * time.Second
 	// initialRunShare is the run time assumed for a class before its first
 	// answer, as a share of the target time.
 	initialRunShare = 1.0 / 3
@@ -72,6 +76,8 @@
 	connections Connections
 	// subset holds the endpoints that the host prefers.
 	subset subset
+	// sharer orders requests by account under pressure.
+	sharer sharer.Sharer
 }
 
 // record is the recent history of an endpoint.
@@ -106,8 +112,19 @@
 	waitSuccessRate float64
 	// pool is the pool that requests of the class were last placed in.
 	pool string
-	// priority is that of the latest request.
-	priority int
+	// priority is the highest of a request within priorityMemory, or that of the latest,
+	// as of priorityAt: requests of a class differ in the rank of their accounts.
+	priority   int
+	priorityAt time.Time
+	// tail tells how much longer than expected requests of the class run.
+	tail sharer.Tail
+}
+
+// recordPriority records the priority of a request.
+func (class *class) recordPriority(now time.Time, priority int) {
+	if priority >= class.priority || now.Sub(class.priorityAt) > priorityMemory {
+		class.priority, class.priorityAt = priority, now
+	}
 }
 
 // recordDeadline records the time until the deadline of a request's caller. A longer
@@ -152,7 +169,9 @@
 	// draw is a random number from 0 to 1 by which the request is one of the share that
 	// may leave the data centre.
 	draw float64
-	// waited is the time for which the request has waited for capacity.
+	// account is that of the caller; nil if there is none.
+	account *definer.Account
+	// waited is the time for which the request has waited on this host.
 	waited time.Duration
 }
 
@@ -186,12 +205,6 @@
 	return request
 }
 
-// WithWaited returns a copy with the time for which the request has waited for capacity.
-func (request Request) WithWaited(waited time.Duration) Request {
-	request.waited = waited
-	return request
-}
-
 // Candidate is an endpoint with the report of its load.
 type Candidate struct {
 	endpoint definer.Endpoint
@@ -236,6 +249,10 @@
 	// it can be answered in time there; waited is the time for which it has waited.
 	mayLeave [distanceCount]bool
 	waited   time.Duration
+	// callerLeft is the time until the caller's own deadline.
+	callerLeft time.Duration
+	// standing is the request's place among others under pressure.
+	standing sharer.Standing
 }
 
 // Endpoint returns the chosen endpoint.
@@ -288,18 +305,17 @@
 		}
 	}
 	best.normalRun = time.Duration(class.normalRun)
-	best.remaining = request.remaining
-	best.timeBudget = request.remaining
-	if request.target > 0 && class.normalRun <= float64(request.target) {
-		best.timeBudget = request.target - (class.longestDeadline - max(request.callerTime, request.remaining))
-	}
+	best.remaining, best.callerLeft = request.remaining, max(request.callerTime, request.remaining)
+	best.timeBudget = class.timeBudget(request)
 	best.waitSuccessRate = class.waitSuccessRate
 	best.waited = request.waited
 	if best.found {
 		best.mayLeave = placer.mayLeave(now, best.forecast.pool, class, request)
-		class.pool, class.priority = best.forecast.pool, request.priority
+		class.pool = best.forecast.pool
+		class.recordPriority(now, request.priority)
 		best.pressure = placer.effects(best.forecast.pool).recordChoice(now, best.forecast.crowded)
 		best.explores = placer.random.Float64() < exploreShare
+		best.standing = placer.sharer.Standing(now, best.forecast.pool, best.pressure, class.claim(request))
 		best.yields = best.pressure >= yieldPressure && placer.isOutranked(best.forecast.pool, request)
 	}
 	best = placer.preferServed(now, best, candidates, class, request)
