--- a/internal/throttler/grant.go
+++ b/internal/throttler/grant.go
@@ -33,7 +33,7 @@
 // The bucket then starts empty, since other hosts may have granted permits until now. The
 // ledger's mu is held.
 func (throttler *Throttler) mayGrant(now time.Time, roster *roster, share *share, vouched uint64) bool {
-	if throttler.settled(now, roster, share.since) {
+	if throttler.settled(now, roster, share.delayEnd) {
 		return true
 	}
 	if now.Sub(roster.checkedAt) > throttler.bound || vouched != share.registration {
--- a/internal/throttler/ledger.go
+++ b/internal/throttler/ledger.go
@@ -39,12 +39,12 @@
 	place definer.Place
 	// key identifies the share in the ranking of the hosts.
 	key string
-	// owner is the host that ranks first by its registration since a time; peer is nil if
-	// there is none.
+	// owner is the host that ranks first by its registration; peer is nil if there is none.
 	owner        definer.Host
 	registration uint64
 	peer         *peer
-	since        time.Time
+	// delayEnd is the end of the owner's takeover delay.
+	delayEnd time.Time
 	// isLocal is true if this host is the owner, which counts the permits in bucket.
 	// isVouched is true if another host has vouched for it since it ranks first.
 	isLocal, isVouched bool
@@ -147,11 +147,11 @@
 	}
 	position, _ := list.find(first.Name())
 	rate, burst := ledger.shareLimits()
-	share.owner, share.registration, share.since = first, list.members[position].registration, list.at
+	share.owner, share.registration, share.delayEnd = first, list.members[position].registration, list.at.Add(list.delay)
 	share.peer = roster.peers[first.Name()]
 	share.isLocal, share.isVouched = first.Name() == ledger.throttler.self.Name(), false
 	share.emptyUntil, share.nextAt, share.isDenied = time.Time{}, time.Time{}, false
-	share.bucket = newBucket(list.at.Add(ledger.throttler.delay()), rate, burst)
+	share.bucket = newBucket(share.delayEnd, rate, burst)
 	if list.full {
 		share.bucket.tokens = burst
 	}
--- a/internal/throttler/roster.go
+++ b/internal/throttler/roster.go
@@ -48,7 +48,9 @@
 	number uint64
 	// at is the time at which the list came into force here. The time for which a host
 	// ranks first counts from it.
-	at      time.Time
+	at time.Time
+	// delay is the takeover delay of a host that ranks first since this list.
+	delay   time.Duration
 	members []Member
 	// hosts are those of members, and added those that the list before did not have by the
 	// same registration.
@@ -123,15 +125,15 @@
 	if next.checkedAt.Before(previous.checkedAt) {
 		next.checkedAt = previous.checkedAt
 	}
-	if next.checkedAt.After(previous.checkedAt) && now.Sub(previous.checkedAt) > throttler.delay() {
+	if next.checkedAt.After(previous.checkedAt) && now.Sub(previous.checkedAt) > throttler.maxAge(previous.checkedAt) {
 		next.lists = nil
 	}
 	if newest := next.newest(); newest == nil || !slices.Equal(newest.members, members) {
 		added := newList(now, previous.number()+1, newest, members)
 		added.breaks = newest == nil
-		if throttler.firstStart && now.Sub(throttler.startedAt) <= throttler.delay() {
-			// No other host can have granted permits before.
-			added.at, added.full = throttler.startedAt, true
+		added.delay = throttler.delay()
+		if age := now.Sub(throttler.startedAt); throttler.firstStart && age <= throttler.delay() {
+			added.delay, added.full = throttler.bound, age <= throttler.bound
 		}
 		next.lists = append(slices.Clone(next.lists), added)
 	}
@@ -181,7 +183,7 @@
 // report logs when the host starts or stops granting permits.
 func (throttler *Throttler) report(now time.Time, roster *roster) {
 	since, listed := throttler.listedSince(roster)
-	granting := listed && throttler.settled(now, roster, since)
+	granting := listed && throttler.settled(now, roster, since.at.Add(since.delay))
 	if granting == throttler.granting {
 		return
 	}
@@ -193,21 +195,33 @@
 	throttler.journal.Change(message, "listed", listed, "hosts", len(roster.newest().hosts), "proof-age", now.Sub(roster.checkedAt))
 }
 
-// listedSince returns since when this host is listed without interruption.
-func (throttler *Throttler) listedSince(roster *roster) (since time.Time, listed bool) {
+// listedSince returns the list since which this host is listed without interruption.
+func (throttler *Throttler) listedSince(roster *roster) (since *list, listed bool) {
 	var registration uint64
 	for _, list := range roster.lists {
 		index, ok := list.find(throttler.self.Name())
-		if ok && (!listed || list.members[index].registration != registration) {
-			since, registration = list.at, list.members[index].registration
+		if !listed || (ok && list.members[index].registration != registration) {
+			since = list
+		}
+		if listed = ok; ok {
+			registration = list.members[index].registration
 		}
-		listed = ok
 	}
 	return since, listed
 }
 
-// settled reports whether a host that ranks first since a time may grant permits: its view
-// is new enough and, when the takeover delay had passed, still showed it first.
-func (throttler *Throttler) settled(now time.Time, roster *roster, since time.Time) bool {
-	return now.Sub(roster.checkedAt) <= throttler.delay() && !roster.checkedAt.Before(since.Add(throttler.delay()))
+// settled reports whether a host whose takeover delay ends at a time may grant permits: its
+// view is new enough and, when the delay had passed, still showed that it ranks first.
+func (throttler *Throttler) settled(now time.Time, roster *roster, delayEnd time.Time) bool {
+	return now.Sub(roster.checkedAt) <= throttler.maxAge(roster.checkedAt) && !roster.checkedAt.Before(delayEnd)
+}
+
+// maxAge returns the age up to which a host with a view that was checked at a time grants.
+// When the fleet starts for the first time, hosts take over sooner, so that the views of
+// that time count for less; hosts start within a bound of each other.
+func (throttler *Throttler) maxAge(checkedAt time.Time) time.Duration {
+	if throttler.firstStart && checkedAt.Sub(throttler.startedAt) <= throttler.delay()+throttler.bound {
+		return throttler.bound
+	}
+	return throttler.delay()
 }
--- a/internal/throttler/search.go
+++ b/internal/throttler/search.go
@@ -154,7 +154,7 @@
 		default:
 			ask := Ask{count: 1, debt: ledger.debt}
 			ledger.debt = 0
-			if throttler.settled(now, roster, share.since) && now.Sub(roster.checkedAt) <= throttler.bound {
+			if throttler.settled(now, roster, share.delayEnd) && now.Sub(roster.checkedAt) <= throttler.bound {
 				ask.vouched = share.registration
 			}
 			return Step{verdict: AskOwner, owner: share.owner.Name(), share: index, ask: ask}
@@ -169,7 +169,7 @@
 // takeOwn takes a permit of a share that this host owns; its ledger's mu is held. If its
 // view is older than the bound, it may be the only host that takes it for the owner.
 func (throttler *Throttler) takeOwn(now time.Time, roster *roster, search *Search, share *share) bool {
-	if !throttler.settled(now, roster, share.since) || now.Sub(roster.checkedAt) > throttler.bound {
+	if !throttler.settled(now, roster, share.delayEnd) || now.Sub(roster.checkedAt) > throttler.bound {
 		search.unanswered = true
 		return false
 	}
