--- a/internal/throttler/grant.go
+++ b/internal/throttler/grant.go
@@ -12,9 +12,10 @@
 	if index < 0 || index >= Shares {
 		return Denial()
 	}
-	roster, ledger := throttler.roster.Load(), throttler.ledger(account)
+	ledger := throttler.ledger(account)
 	ledger.mu.Lock()
 	defer ledger.mu.Unlock()
+	roster := throttler.roster.Load() // Under mu, so that a ledger never sees an older one.
 	ledger.update(now, roster, account)
 	share := &ledger.shares[index]
 	if !share.isLocal || !throttler.mayGrant(now, roster, share, ask) {
@@ -34,7 +35,7 @@
 // registration that outlived the restart confirms it. The bucket then starts empty, since
 // other hosts or this one may have granted all permits before. The ledger's mu is held.
 func (throttler *Throttler) mayGrant(now time.Time, roster *roster, share *share, ask Ask) bool {
-	if throttler.settled(now, roster, share.since) {
+	if throttler.settled(now, roster, share.delayEnd) {
 		return true
 	}
 	vouched := ask.vouched == share.registration
