--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -115,8 +115,7 @@
 		}
 		if verdict == placer.Wait {
 			var ok bool
-			if led, ok = assigner.wait(ctx, request.Pool()); ok {
-				phase = phaseOf(led)
+			if led, phase, ok = assigner.wait(ctx, request.Pool()); ok {
 				continue
 			}
 		}
--- a/internal/assigner/assigner_test.go
+++ b/internal/assigner/assigner_test.go
@@ -111,3 +111,21 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestFreeSlotEndsWait checks that a request that waits gets the slot that the head of an
+// answer shows, without a probe and before the next round.
+func TestFreeSlotEndsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub, assigner, request := start(t, 2, 4)
+		assigned := request(2)
+		time.Sleep(5 * time.Millisecond)
+		probes := stub.probes.Load()
+		assigner.Record(time.Now(), stub.endpoints[0], definer.NewReport(true, 1, 0, 4, 1))
+		synctest.Wait()
+		if assigned.Load() != 1 || stub.probes.Load() != probes {
+			t.Errorf("%d requests are assigned with %d more probes, want one without", assigned.Load(), stub.probes.Load()-probes)
+		}
+		time.Sleep(2 * time.Second)
+		_ = assigner.Close()
+	})
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -171,7 +171,6 @@
 	gateway.permitter = permitter.New(gateway.self, gateway.log)
 	gateway.permitter.SetColdRates(gateway)
 	gateway.pacer = &pacer.Pacer{}
-	gateway.sender.SetObserver(observers{gateway.permitter, gateway.pacer})
 	gateway.sender.SetCheckRecorder(gateway.pacer)
 	gateway.sender.SetRegistry(gateway.registry)
 	gateway.placer.SetConnections(gateway.sender)
@@ -180,6 +179,7 @@
 	gateway.verifier = verifier.New(gateway.quarantiner, gateway.sender, gateway.log)
 	gateway.assigner = assigner.New(gateway, gateway.sender, gateway.placer, gateway.permitter, gateway.log)
 	gateway.assigner.SetPacer(gateway.pacer)
+	gateway.sender.SetObserver(observers{gateway.permitter, gateway.assigner})
 	gateway.assigner.SetRegistry(gateway.registry)
 	gateway.dispatcher = dispatcher.New(nil, gateway.assigner, gateway.sender, gateway.recorder)
 	gateway.dispatcher.SetPlanner(dispatcher.NewRoutePlanner(gateway))
