sharer, placer: earlier returns, earlier silence, no long queues

The limit on silence was 2.5 s in the middle case, which leaves a repeat too little of 3 s.

A request joins no queue that is longer than the endpoint's slots, since full endpoints hang. The tests of placer hold unchanged.

--- a/internal/placer/judge.go
+++ b/internal/placer/judge.go
@@ -49,7 +49,7 @@
 	calm := choice.pressure < calmPressure
 	reserved := choice.standing.HeldBack() && forecast.nearlyFull
 	available := !forecast.crowded && !(choice.yields && forecast.busy) || (calm || choice.explores) && forecast.queue == 0
-	spare := forecast.idle || !forecast.busy && choice.pressure < yieldPressure || !forecast.crowded && calm
+	spare := forecast.queue <= maxQueue && (forecast.idle || !forecast.busy && choice.pressure < yieldPressure || !forecast.crowded && calm)
 	if !reserved && (available && choice.expectedRun <= choice.timeBudget || spare && choice.expectedRun <= choice.remaining) {
 		return Serve
 	}
@@ -68,6 +68,11 @@
 // slowdown of such endpoints is learned.
 const exploreShare = 0.1
 
+// maxQueue bounds the queue of an endpoint that a request may join, as a multiple of the
+// endpoint's slots. Endpoints queue twice as many requests as they have slots and hang when
+// they get more; the other half is for requests of hosts that saw the same report.
+const maxQueue = 1
+
 // Shares of crowded choices in a pool.
 const (
 	// calmPressure is the share below which the pool has capacity to spare.
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -90,5 +90,5 @@
 func (placer *Placer) SilenceLimit(request Request, forecast Forecast) time.Duration {
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
-	return placer.class(request).tail.SilenceLimit(time.Duration(forecast.run))
+	return placer.class(request).tail.SilenceLimit(time.Duration(forecast.run), request.remaining)
 }
--- a/internal/sharer/retry.go
+++ b/internal/sharer/retry.go
@@ -9,6 +9,10 @@
 	// callerShare is the part of their time left that callers wait at most; they ignore a
 	// longer Retry-After.
 	callerShare = 1.0 / 3
+	// returnShare is the part of the time until the last useful start over which callers
+	// return. In replays of bursts, a third had 0.01 more of the requests' worth than the
+	// whole: a caller that returns early may wait for a slot on its host.
+	returnShare = 1.0 / 3
 	// returnReserve is the reserve for the path back, as a share of the run time.
 	returnReserve = 0.15
 	// minReturnedTime and minReturnedShare are the least time that a caller has been
@@ -23,13 +27,14 @@
 // time until the caller gives up, and run its run time at normal speed.
 //
 // The capacity that becomes free until the last start of a useful answer is spread over
-// that time, and so are the callers: share is a random number from 0 to 1. A caller whose
-// answer would be late in any case returns later, within what it waits at most.
+// that time, and so are the callers, who may wait again after their return: share is a
+// random number from 0 to 1. A caller whose answer would be late in any case returns later,
+// within what it waits at most.
 func RetryAfter(share float64, timeLeft, callerLeft, run time.Duration) time.Duration {
 	longest := time.Duration(callerShare * float64(callerLeft))
 	latest := timeLeft - time.Duration((1+returnReserve)*float64(run))
 	if latest >= minRetryAfter {
-		longest = min(longest, latest)
+		longest = min(longest, max(minRetryAfter, time.Duration(returnShare*float64(latest))))
 	}
 	longest = max(longest, 0)
 	shortest := min(minRetryAfter, longest/2)
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -1,6 +1,6 @@
 // Package sharer decides which requests take precedence when a service has too few
-// slots: by priority, then by the fair share of the request's account, then by whether
-// its caller was rejected before, then by the time left. It also decides how a rejected
+// slots: by priority, then by the fair share of the request's account, then by the
+// time left. It also decides how a rejected
 // caller's return is timed, and how long the silence of an endpoint can be explained.
 // Package placer asks it for each choice.
 //
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -90,7 +90,7 @@
 // an answer is late though an earlier return was possible.
 func TestRetryAfter(t *testing.T) {
 	for _, test := range []struct{ timeLeft, callerLeft, most time.Duration }{
-		{1500 * time.Millisecond, 4 * time.Second, 1041 * time.Millisecond},
+		{1500 * time.Millisecond, 4 * time.Second, 347 * time.Millisecond},
 		{1500 * time.Millisecond, 1800 * time.Millisecond, 600 * time.Millisecond},
 		{-time.Second, 900 * time.Millisecond, 300 * time.Millisecond},
 		{-time.Second, 0, 0},
@@ -110,14 +110,17 @@
 		constant.Record(run, run)
 		long := run
 		if index%30 == 0 {
-			long *= 12
+			long *= 12 // Longer than the highest tail.
 		}
 		varied.Record(long, run)
 	}
-	if limit := constant.SilenceLimit(run); limit > 4*run {
+	if limit := constant.SilenceLimit(run, time.Minute); limit > 4*run {
 		t.Errorf("silence of a class with constant runs is explained for %v of %v", limit, run)
 	}
-	if limit := varied.SilenceLimit(run); limit < 6*run {
+	if limit := varied.SilenceLimit(run, 3*time.Second); limit > 1500*time.Millisecond {
+		t.Errorf("silence is explained for %v of 3 s, which leaves too little for a repeat", limit)
+	}
+	if limit := varied.SilenceLimit(run, time.Minute); limit < 6*run {
 		t.Errorf("silence of a class with runs of up to 12 times the usual is explained for %v of %v", limit, run)
 	}
 }
--- a/internal/sharer/silence.go
+++ b/internal/sharer/silence.go
@@ -3,20 +3,20 @@
 import "time"
 
 const (
-	// initialTail is the assumed multiple of the expected run time that 1 in 100 runs
+	// initialTail is the assumed multiple of the expected run time that 1 in 50 runs
 	// exceed, before the first answers.
 	initialTail = 4
 	// tailShare is the share of runs that are longer than the tail.
-	tailShare = 0.01
+	tailShare = 0.02
 	// tailStep is the share by which one run that exceeds the tail raises it.
 	tailStep = 0.1
 	// minTail and maxTail bound the tail: the speed of an endpoint changes while it runs a
 	// request.
 	minTail = 2.5
 	maxTail = 8
-	// silenceMargin multiplies the tail: giving up a run that would end costs its slot
-	// time, and a repeat.
-	silenceMargin = 1.2
+	// repeatShare is the part of the time left after which a repeat has as much time as the
+	// first attempt had. A run that exceeds minTail and that time counts as silent.
+	repeatShare = 0.5
 	// minSilence is the shortest silence that counts: pauses of a busy machine are shorter.
 	minSilence = 200 * time.Millisecond
 )
@@ -49,8 +49,9 @@
 }
 
 // SilenceLimit returns the time after which an endpoint's silence is not explained by the
-// work of a request. Expected is the run time by the class's learned run time, and the
-// slowdown and queue in the endpoint's report.
-func (tail *Tail) SilenceLimit(expected time.Duration) time.Duration {
-	return max(minSilence, time.Duration(silenceMargin*tail.value()*float64(expected)))
+// work of a request, early enough for a repeat within the time left. Expected is the run
+// time by the class's learned run time, and the slowdown and queue in the endpoint's report.
+func (tail *Tail) SilenceLimit(expected, left time.Duration) time.Duration {
+	explained := tail.value() * float64(expected)
+	return max(minSilence, time.Duration(min(explained, max(minTail*float64(expected), repeatShare*float64(left)))))
 }
--- a/internal/sharer/standing.go
+++ b/internal/sharer/standing.go
@@ -79,12 +79,13 @@
 	return standing
 }
 
-// precedence is the place of a request in the order.
+// precedence is the place of a request in the order. Whether its caller was rejected before
+// is not part of it: replays with such callers first, last and in no order differed by less
+// than their seeds.
 type precedence struct {
 	priority int
 	// excess is the account's use as a multiple of its fair share, at least 1.
 	excess   float64
-	returned bool
 	timeLeft time.Duration
 }
 
@@ -92,7 +93,7 @@
 func (service *service) precedence(now time.Time, account *account, claim Claim) precedence {
 	return precedence{
 		priority: claim.priority, excess: service.excess(now, account, claim),
-		returned: claim.returned, timeLeft: claim.timeLeft,
+		timeLeft: claim.timeLeft,
 	}
 }
 
@@ -106,11 +107,6 @@
 		return -1
 	case precedence.excess > other.excess:
 		return 1
-	case precedence.returned != other.returned:
-		if precedence.returned {
-			return -1
-		}
-		return 1
 	case precedence.timeLeft < other.timeLeft:
 		return -1
 	case precedence.timeLeft > other.timeLeft:
