enroller, tracker, launcher: a restarted host waits for its copy before it registers

Cause: after a power loss of all hosts, small ones had no copy of the store 300 ms after their start and registered under a new lease, so that nobody granted permits for the takeover delay. Change: a starting host waits for any copy, for 1.5 s at most, and the parts that depend on the view are updated at the first freshness check.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -29,8 +29,9 @@
 	// renewInterval is the time between renewals.
 	renewInterval = 2500 * time.Millisecond
 	// viewTimeout bounds the wait of a host that has just started for its copy of
-	// the store, which shows whether it is still registered.
-	viewTimeout = 300 * time.Millisecond
+	// the store, which shows whether it is still registered. Where all hosts restart at
+	// once with many routes, small ones need half a second for it.
+	viewTimeout = 1500 * time.Millisecond
 	// retryInterval is the wait after a failed call. A lease lasts longer than a
 	// renewal interval and a retry interval together.
 	retryInterval = 1200 * time.Millisecond
@@ -59,8 +60,8 @@
 	// Registered returns the value and the lease of key and the point at which it was
 	// written, if it exists.
 	Registered(key string) (value []byte, lease definer.Lease, written definer.Point, ok bool)
-	// Ready returns a channel that is closed once the copy is known to be complete.
-	Ready() <-chan struct{}
+	// Copied returns a channel that is closed once there is a copy, which may be old.
+	Copied() <-chan struct{}
 	// Missing reports whether the copy is at a later point of the era than written and
 	// does not hold key.
 	Missing(key string, written definer.Point) bool
@@ -142,13 +143,12 @@
 	return wait - rand.N(wait/8)
 }
 
-// awaitView waits until the copy of the store is complete, for viewTimeout at
-// most.
+// awaitView waits until there is a copy of the store, for viewTimeout at most.
 func (enroller *Enroller) awaitView(ctx context.Context) {
 	timer := time.NewTimer(viewTimeout)
 	defer timer.Stop()
 	select {
-	case <-enroller.view.Ready():
+	case <-enroller.view.Copied():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -82,7 +82,7 @@
 	return fakeStore.era
 }
 
-func (*fakeStore) Ready() <-chan struct{} {
+func (*fakeStore) Copied() <-chan struct{} {
 	ready := make(chan struct{})
 	close(ready)
 	return ready
--- a/internal/launcher/directory.go
+++ b/internal/launcher/directory.go
@@ -63,9 +63,8 @@
 // Era returns the era of the host's copy of the store.
 func (gateway *Gateway) Era() uint64 { return gateway.tracker.View().Point().Era() }
 
-// Ready returns a channel that is closed once the host's copy of the store is
-// known to be complete.
-func (gateway *Gateway) Ready() <-chan struct{} { return gateway.tracker.Ready() }
+// Copied returns a channel that is closed once the host has a copy of the store.
+func (gateway *Gateway) Copied() <-chan struct{} { return gateway.tracker.Copied() }
 
 // Registered returns the value and the lease of key and the point at which it was written,
 // if it exists.
@@ -153,7 +152,7 @@
 	defer ticker.Stop()
 	// A host that has left may have spent its share of the retry budget in the
 	// current window, so the shares are based on the highest host count seen.
-	maxHosts := 1
+	maxHosts, ready := 1, gateway.tracker.Ready()
 	for {
 		gateway.updatePeers()
 		view := gateway.tracker.View()
@@ -171,6 +170,8 @@
 		gateway.dispatcher.SetRetryBudget(budgetShare*settings.RetryShare(), budgetShare*float64(settings.RetrySlack())/float64(maxHosts))
 		select {
 		case <-ticker.C:
+		case <-ready:
+			ready = nil // The hosts that grant permits are known from now on.
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -45,6 +45,8 @@
 	current atomic.Pointer[View]
 	// firstCheck is closed at the first freshness check.
 	firstCheck chan struct{}
+	// firstCopy is closed once the replica has any content, of whatever age.
+	firstCopy chan struct{}
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -83,7 +85,8 @@
 	return &Tracker{
 		self: self, store: store, peers: peers, journal: journal, timing: timing{bound: bound},
 		builder: builder{decoder: decoder, keys: keys, journal: journal},
-		clock:   timekeeper.System{}, checks: self.Incarnation(), renewed: make(chan struct{}), firstCheck: make(chan struct{}), excludedUntil: make(map[string]time.Time),
+		clock:   timekeeper.System{}, checks: self.Incarnation(), renewed: make(chan struct{}), firstCheck: make(chan struct{}), firstCopy: make(chan struct{}),
+		excludedUntil: make(map[string]time.Time),
 	}
 }
 
@@ -138,6 +141,10 @@
 	return treePosition(tracker.self, hosts, tracker.disconnected, func(name string) bool { return now.Before(tracker.excludedUntil[name]) })
 }
 
+// Copied returns a channel that is closed once the host has a copy of the store, which may
+// be old.
+func (tracker *Tracker) Copied() <-chan struct{} { return tracker.firstCopy }
+
 // Ready returns a channel that is closed at the first freshness check.
 func (tracker *Tracker) Ready() <-chan struct{} { return tracker.firstCheck }
 
@@ -176,7 +183,9 @@
 // rebuild makes a new view of the replica; afterOutage is true where the store
 // could not be read until now. The caller holds mu.
 func (tracker *Tracker) rebuild(now time.Time, afterOutage bool) {
-	tracker.current.Store(tracker.builder.build(now, &tracker.replica, afterOutage))
+	if tracker.current.Swap(tracker.builder.build(now, &tracker.replica, afterOutage)) == nil {
+		close(tracker.firstCopy)
+	}
 }
 
 // outageAge is the length of an outage of the store above which entries may have
