--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -38,8 +38,9 @@
 	// maxEmpty is the longest time for which an owner without permits is not asked. Others
 	// may leave permits unused that it has promised for later.
 	maxEmpty = 200 * time.Millisecond
-	// silence is the time for which a host that did not answer is not asked.
-	silence = time.Second
+	// silence is the time for which a host that did not answer is not asked. It is short, since
+	// hosts that restart together are back within half a second of each other.
+	silence = 300 * time.Millisecond
 	// maxWait is the longest time that a refusal names.
 	maxWait = 10 * time.Second
 	// grantAge is the age of the view, as a multiple of the bound within which changes must
