placer, pacer: further distances are probed; idle connections first

The first tier counted as a further distance once a report was used again.

Change: the price is 0.5, the purpose is taken from the order of the tiers, and at further distances endpoints with an idle connection always come first. Any free slot in an answer ends a wait: the condition on its speed made no difference.

--- a/internal/assigner/round.go
+++ b/internal/assigner/round.go
@@ -88,7 +88,7 @@
 // one of the requests that wait for the service searches again, without a probe.
 func (assigner *Assigner) Record(now time.Time, endpoint definer.Endpoint, report definer.Report) {
 	assigner.pacer.Record(now, endpoint, report)
-	if !pacer.ShowsFreeSlot(report) {
+	if report.Running() >= report.Slots() {
 		return
 	}
 	assigner.mu.Lock()
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -40,9 +40,9 @@
 	// probe takes.
 	minPrice = 0.1
 	// connectionPrice is the least price of a probe that needs a new connection, which
-	// costs as much as some 80 probes on an idle one. Probes for requests that wait are
-	// never worth one, nor is more than one additional probe.
-	connectionPrice = 0.7
+	// costs as much as some 80 probes on an idle one. Only the first tier and one probe at
+	// each further distance are worth one, and these only for arriving requests.
+	connectionPrice = 0.5
 	// maxPrice is the price when the budget is used up: only a selection without any
 	// report sends a probe.
 	maxPrice = 1
--- a/internal/pacer/report.go
+++ b/internal/pacer/report.go
@@ -54,16 +54,6 @@
 	record.report, record.receivedAt, record.starts = report, now, record.started
 }
 
-// freeSlowdown is the slowdown up to which a free slot is worth the search of a waiting
-// request: with slow ones too, fewer requests were answered in time in the replays.
-const freeSlowdown = 1.2
-
-// ShowsFreeSlot reports whether a report in the head of an answer ends the wait of a
-// request: the endpoint has a free slot and runs at about normal speed.
-func ShowsFreeSlot(report definer.Report) bool {
-	return report.Running() < report.Slots() && report.Slowdown() <= freeSlowdown
-}
-
 // usable reports whether the last report is recent enough to be used at all.
 func (record *record) usable(now time.Time) bool {
 	return !record.receivedAt.IsZero() && now.Sub(record.receivedAt) <= maxAge
--- a/internal/placer/pacing_test.go
+++ b/internal/placer/pacing_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,9 +36,11 @@
 	*emulation
 	pacers []*pacer.Pacer
 	hosts  []*pacedHost
-	// dialed counts new connections, and served the requests by endpoint.
-	dialed int
-	served map[string]int
+	// dialed counts new connections, distant the probes beyond the host's data centre, and
+	// served the requests by endpoint.
+	dialed  int
+	distant int
+	served  map[string]int
 }
 
 // pacedHost is what a host keeps beside its placer and its pacer.
@@ -137,7 +140,7 @@
 		if paced.left(ended.job) > 0 {
 			paced.hosts[ended.job.host].put(endpoint.endpoint.Name())
 			paced.pacers[ended.job.host].Record(paced.time(), endpoint.endpoint, endpoint.report())
-			if round, ok := paced.hosts[ended.job.host].rounds[ended.job.class.service]; ok && pacer.ShowsFreeSlot(endpoint.report()) {
+			if round, ok := paced.hosts[ended.job.host].rounds[ended.job.class.service]; ok && endpoint.report().Running() < endpoint.slots {
 				round.release(1, nil)
 			}
 		}
@@ -214,6 +217,9 @@
 func (paced *pacedEmulation) sendProbe(search *search, endpoint definer.Endpoint, done func()) {
 	host, pace, name := paced.hosts[search.job.host], paced.pacers[search.job.host], endpoint.Name()
 	paced.probes++
+	if paced.placers[search.job.host].distance(endpoint) != distanceCentre {
+		paced.distant++
+	}
 	host.take(name)
 	ticket := pace.Begin(paced.time(), name)
 	roundTrip := emulatedRoundTrips[paced.placers[search.job.host].distance(endpoint)]
@@ -314,30 +320,53 @@
 	// busiest is the number of requests of the busiest endpoint of a service as a multiple
 	// of the mean.
 	busiest float64
+	// distant counts the probes beyond the host's data centre.
+	distant int
 }
 
-const replayTime = 8 * time.Second
+const replayTime = 6 * time.Second
+
+// replaySeeds is the number of replays of overload, whose credit differs by 0.02 from seed to
+// seed.
+const replaySeeds = 3
+
+// meanOf returns the mean outcome of replays with several seeds.
+func meanOf(replay func(seed uint64) outcome) outcome {
+	var outcomes [replaySeeds]outcome
+	var tasks sync.WaitGroup
+	for seed := range outcomes {
+		tasks.Go(func() { outcomes[seed] = replay(uint64(seed) + 1) })
+	}
+	tasks.Wait()
+	var mean outcome
+	for _, outcome := range outcomes {
+		mean.credit += outcome.credit / replaySeeds
+		mean.probes += outcome.probes / replaySeeds
+		mean.distant += outcome.distant
+	}
+	return mean
+}
 
 // replay plays the deployment with a bound on the probes for each endpoint and second.
-func replay(t *testing.T, deployment deployment, rate float64) outcome {
+func replay(t *testing.T, deployment deployment, seed uint64, rate float64) outcome {
 	t.Helper()
-	paced := newPacedEmulation(deployment, 1, rate)
+	paced := newPacedEmulation(deployment, seed, rate)
 	paced.play(replayTime)
 	asked := 0
 	for _, count := range paced.asked {
 		asked += count
 	}
 	result := measure(paced.emulation, paced.served)
-	result.dialed = float64(paced.dialed) / float64(asked)
+	result.dialed, result.distant = float64(paced.dialed)/float64(asked), paced.distant
 	t.Logf("bound %.0f: %s; %+v", rate, paced.describe(), result)
 	return result
 }
 
 // replayFormer plays the deployment as it was before reports were shared and endpoints
 // preferred.
-func replayFormer(t *testing.T, deployment deployment) outcome {
+func replayFormer(t *testing.T, deployment deployment, seed uint64) outcome {
 	t.Helper()
-	emulation, served := newEmulation(deployment, 1), make(map[string]int)
+	emulation, served := newEmulation(deployment, seed), make(map[string]int)
 	emulation.judge = func(choice Choice, _ []Candidate, waited time.Duration) Verdict {
 		verdict := Judge(choice, waited)
 		if verdict == Serve {
@@ -368,10 +397,14 @@
 // bound, requests must still be placed about as well.
 func TestPacedOverload(t *testing.T) {
 	const bound = 42
-	former, paced := replayFormer(t, largeDeployment(8)), replay(t, largeDeployment(8), bound)
+	former := meanOf(func(seed uint64) outcome { return replayFormer(t, largeDeployment(8), seed) })
+	paced := meanOf(func(seed uint64) outcome { return replay(t, largeDeployment(8), seed, bound) })
 	if former.probes <= bound {
 		t.Errorf("the former choice sends %.1f probes, so that the replay shows nothing", former.probes)
 	}
+	if paced.distant == 0 {
+		t.Error("no endpoint beyond the data centre is probed")
+	}
 	if paced.probes > bound || paced.credit < former.credit-0.03 {
 		t.Errorf("%.1f probes for each endpoint and second, %d allowed; credit %.3f, formerly %.3f", paced.probes, bound, paced.credit, former.credit)
 	}
@@ -380,7 +413,7 @@
 // TestPacedPeak guards against the subsets concentrating the load at peak load, and against
 // more probes or connections than before there.
 func TestPacedPeak(t *testing.T) {
-	former, paced := replayFormer(t, largeDeployment(6)), replay(t, largeDeployment(6), 42)
+	former, paced := replayFormer(t, largeDeployment(6), 1), replay(t, largeDeployment(6), 1, 42)
 	if paced.busiest > 1.15*former.busiest {
 		t.Errorf("the busiest endpoint gets %.2f times the mean, formerly %.2f", paced.busiest, former.busiest)
 	}
@@ -392,7 +425,7 @@
 // TestPacedNormal checks that at normal load the bound changes nothing and requests are
 // placed as before, with at most as many probes.
 func TestPacedNormal(t *testing.T) {
-	former, free, paced := replayFormer(t, largeDeployment(2)), replay(t, largeDeployment(2), 0), replay(t, largeDeployment(2), 42)
+	former, free, paced := replayFormer(t, largeDeployment(2), 1), replay(t, largeDeployment(2), 1, 0), replay(t, largeDeployment(2), 1, 42)
 	if paced != free {
 		t.Errorf("with the bound %+v, without it %+v", paced, free)
 	}
@@ -400,3 +433,18 @@
 		t.Errorf("%.1f probes for each endpoint and second, formerly %.1f; credit %.3f, formerly %.3f", paced.probes, former.probes, paced.credit, former.credit)
 	}
 }
+
+// TestPurposeAfterReuse guards against counting the first tier as a further distance once a
+// report was used again: its probes were left out too early.
+func TestPurposeAfterReuse(t *testing.T) {
+	placer, pace, now := New(here, 1), &pacer.Pacer{}, time.Now()
+	h := testEndpoints(here, "h", 4)
+	pace.Record(now, h[0], definer.NewReport(true, 4, 0, 4, 1))
+	selection := placer.Select(now, pace, nil, append(h, testEndpoints(near, "n", 4)...), testRequest(), pacer.Arriving)
+	for _, want := range []pacer.Purpose{pacer.Nearest, pacer.Additional, pacer.Distant} {
+		if !selection.Next(now) || selection.Purpose() != want {
+			t.Fatalf("the tier is for %v, want %v", selection.Purpose(), want)
+		}
+		selection.Compare(now)
+	}
+}
--- a/internal/placer/selection.go
+++ b/internal/placer/selection.go
@@ -34,8 +34,8 @@
 	// tiers are those that have not been probed, and tier is the one to probe now.
 	tiers []Tier
 	tier  Tier
-	// begun is true once a tier was probed.
-	begun bool
+	// distant is true for the tiers after the first.
+	distant bool
 	// endpoints and readings hold the endpoints with a report, and their reports.
 	endpoints []definer.Endpoint
 	readings  []pacer.Reading
@@ -74,6 +74,7 @@
 	if len(selection.tiers) == 0 || !selection.tiers[0].Needed(selection.choice) {
 		return false
 	}
+	selection.distant = len(selection.tier.endpoints) > 0
 	selection.tier, selection.tiers = selection.tiers[0], selection.tiers[1:]
 	if selection.reuse(now, selection.tier.distance) {
 		selection.Compare(now)
@@ -104,7 +105,7 @@
 		return pacer.LastResort
 	case selection.tier.additional:
 		return pacer.Additional
-	case selection.begun:
+	case selection.distant:
 		return pacer.Distant
 	}
 	return pacer.Nearest
@@ -160,7 +161,6 @@
 // Compare chooses among the endpoints with a report, each with the requests that the host
 // has assigned to it since.
 func (selection *Selection) Compare(now time.Time) {
-	selection.begun = true
 	selection.candidates, selection.seen = nil, make(map[string]uint64, len(selection.endpoints))
 	var permitted []Candidate
 	for index, endpoint := range selection.endpoints {
--- a/internal/placer/subset.go
+++ b/internal/placer/subset.go
@@ -26,9 +26,10 @@
 	passedOverTime = 75 * time.Millisecond
 )
 
-// seenTime is how long after its last report an endpoint without an idle connection is
-// still passed over for those with one. After that it is probed like the others, so that
-// one that has just joined, or has become fast again, gets requests.
+// seenTime is how long after its last report an endpoint of the data centre without an idle
+// connection is still passed over for those with one. After that it is probed like the
+// others, so that one that has just joined, or has become fast again, gets requests. Those
+// further away get them from hosts of their own data centre.
 const seenTime = 2 * time.Second
 
 // Connections knows the connections to endpoints. A new one costs as much as some 80
@@ -145,23 +146,22 @@
 	troubledAt time.Time
 	// preferred is true for an endpoint of the subset.
 	preferred bool
-	// connected is true if there is an idle connection to the endpoint, or nothing is known
-	// of the endpoint.
+	// connected is true if the endpoint has an idle connection or need not have one.
 	connected bool
 }
 
 // rank returns an endpoint with what its place depends on; mu is held.
 func (placer *Placer) rank(now time.Time, endpoint definer.Endpoint) ranked {
 	entry := ranked{rank: placer.subset.rank(endpoint.Name()), endpoint: endpoint, connected: true}
-	record, ok := placer.records[endpoint.Name()]
-	if !ok {
-		return entry
-	}
-	entry.failures = int(placer.failureScore(now, endpoint.Name()))
-	if now.Sub(record.troubledAt) < passedOverTime {
-		entry.troubledAt = record.troubledAt
+	recent := false
+	if record, ok := placer.records[endpoint.Name()]; ok {
+		recent = now.Sub(record.seenAt) < seenTime
+		entry.failures = int(placer.failureScore(now, endpoint.Name()))
+		if now.Sub(record.troubledAt) < passedOverTime {
+			entry.troubledAt = record.troubledAt
+		}
 	}
-	if placer.connections != nil && now.Sub(record.seenAt) < seenTime {
+	if placer.connections != nil && (recent || placer.distance(endpoint) != distanceCentre) {
 		entry.connected = placer.connections.HasIdle(endpoint)
 	}
 	return entry
