throttler: buckets of shares hold two permits more

Cause: the bucket of a share held a third of the burst, one permit for a small account, and lost permits while it was full: of a demand of 0.6 of 3 requests per second with a burst of 3, 0.80 was served (44 of 55). Change: two permits more for each share, 6 of the 20 that are allowed beyond the quota; the fallback limit's number is 8 instead of 10. An owner is asked again when its bucket is a quarter full instead of half.

--- a/internal/launcher/permits_test.go
+++ b/internal/launcher/permits_test.go
@@ -85,7 +85,8 @@
 		name        string
 		delay       time.Duration
 		unreachable string
-		// requests come at the same time; of these, the fallback limit allows some.
+		// requests come at the same time. Each share has ten permits; the fallback limit has
+		// some more.
 		requests                 int
 		granted, fallback, asked int64
 		maxTime                  time.Duration
@@ -97,7 +98,7 @@
 		{"late replies", 150 * time.Millisecond, "", 20, 10, 1, 4, 250 * time.Millisecond},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			account := definer.NewAccount("a", 0).WithQuota(0.003, 30)
+			account := definer.NewAccount("a", 0).WithQuota(0.003, 24)
 			ctx, cancel := context.WithCancel(t.Context())
 			var tasks, requests sync.WaitGroup
 			network := newPermitNetwork(ctx, account, &tasks)
--- a/internal/throttler/fallback.go
+++ b/internal/throttler/fallback.go
@@ -9,11 +9,12 @@
 )
 
 // The requests that all hosts together may send in a window by their fallback limits, if
-// no owner answers: a part of the quota and a number. The other half of the number is for
-// the time between a permit and the arrival at the endpoint.
+// no owner answers: a part of the quota and a number. Of the 20 that are allowed beyond the
+// quota, 6 are spareBurst of each share, and 6 are for the time between a permit and the
+// arrival at the endpoint.
 const (
 	fallbackPart   = 0.1
-	fallbackNumber = 10
+	fallbackNumber = 8
 	// fallbackUse is the part of them that is divided among the hosts that are known; the
 	// rest is for hosts that are not known yet.
 	fallbackUse = 0.8
--- a/internal/throttler/ledger.go
+++ b/internal/throttler/ledger.go
@@ -82,10 +82,14 @@
 	return regions[:Shares]
 }
 
-// shareLimits returns the rate and the burst of one share. A bucket holds one permit at
-// least, or it would never have any.
+// spareBurst is what a share's bucket holds beyond its part of the burst. With its part
+// alone, the buckets of a small account would be full most of the time and lose permits: at
+// 3 requests per second and a burst of 3, a tenth to a third of the requests below the quota.
+const spareBurst = 2
+
+// shareLimits returns the rate and the burst of one share.
 func (ledger *ledger) shareLimits() (rate, burst float64) {
-	return ledger.rate / Shares, max(1, ledger.burst/Shares)
+	return ledger.rate / Shares, ledger.burst/Shares + spareBurst
 }
 
 // update brings the ledger up to date; mu is held.
--- a/internal/throttler/search.go
+++ b/internal/throttler/search.go
@@ -244,13 +244,13 @@
 }
 
 // emptyTime returns the time for which an owner that has no permits for wait is not asked;
-// mu is held. Until its bucket is half full, no permit is lost if nobody asks for it.
+// mu is held. Until its bucket is a quarter full, hardly a permit is lost if nobody asks.
 func (ledger *ledger) emptyTime(wait time.Duration) time.Duration {
-	untilHalf := maxEmpty
-	if rate, burst := ledger.shareLimits(); burst < 2*rate*maxEmpty.Seconds() {
-		untilHalf = time.Duration(burst / 2 / rate * float64(time.Second))
+	untilQuarter := maxEmpty
+	if rate, burst := ledger.shareLimits(); burst/4 < rate*maxEmpty.Seconds() {
+		untilQuarter = time.Duration(burst / 4 / rate * float64(time.Second))
 	}
-	return min(max(wait, untilHalf), maxEmpty)
+	return min(max(wait, untilQuarter), maxEmpty)
 }
 
 // Silent records that the owner did not answer at the request of step. The further
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -113,8 +113,9 @@
 // and against permits that nobody gets while too many ask for them. It runs 100 hosts without
 // faults for 40 s, the first 10 s of which do not count.
 func TestQuotaIsServed(t *testing.T) {
-	for _, factor := range []float64{0.6, 5} {
-		fleet := newFleet(1, 100, 3, 6, definer.NewAccount("a", 0).WithQuota(40, 40))
+	for _, test := range []struct{ rate, burst, factor float64 }{{40, 40, 0.6}, {3, 3, 0.6}, {40, 40, 5}} {
+		factor := test.factor
+		fleet := newFleet(1, 100, 3, 6, definer.NewAccount("a", 0).WithQuota(test.rate, test.burst))
 		for fleet.now.Sub(time.Unix(0, 0)) < 40*time.Second {
 			if fleet.now.Sub(time.Unix(0, 0)) == 10*time.Second {
 				fleet.sent, fleet.refused, fleet.asked, fleet.fallbacks = nil, 0, 0, 0
