quarantiner: a test of lists of different eras

Cause: no test showed that a list at a lower version of a later era is adopted.

Change: TestListOfLaterEra reads one.

--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -233,3 +233,20 @@
 		})
 	})
 }
+
+// TestListOfLaterEra reads a list at a lower version of a later era of the store, which a
+// host took for an old one and ignored.
+func TestListOfLaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store fakeStore
+		var quarantiner Quarantiner
+		quarantiner.SetStore(&store)
+		quarantiner.prepare()
+		for _, entry := range []connector.Entry{connector.NewEntry(nil, 9), connector.NewEntry(nil, 5).WithEra(1)} {
+			store.entry = entry
+			if err := quarantiner.refresh(t.Context()); err != nil || quarantiner.point != entry.Point() {
+				t.Errorf("the list is of %v, %v; want %v", quarantiner.point, err, entry.Point())
+			}
+		}
+	})
+}
