placer, sharer: requests that are held back leave only the last slot

The learned tail also counts runs that were given up as silent; otherwise it would fall to the runs shorter than itself.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -333,7 +333,7 @@
 // RecordSilence records that the endpoint has been silent beyond the limit, before the
 // outcome of the request is known.
 func (slot *slot) RecordSilence() {
-	slot.assigner.placer.RecordFailure(time.Now(), slot.endpoint.Name(), silenceWeight)
+	slot.assigner.placer.RecordSilence(time.Now(), slot.endpoint.Name(), slot.request, silenceWeight)
 }
 
 // Weights of outcomes in the failure score of an endpoint.
--- a/internal/placer/forecast.go
+++ b/internal/placer/forecast.go
@@ -91,6 +91,8 @@
 	nearlyFull, busy bool
 	// idle is true if the request is one of few at the endpoint.
 	idle bool
+	// lastSlot is true if the request takes the last free slot of several, or none is free.
+	lastSlot bool
 	// cold is true if the endpoint has just started.
 	cold bool
 	// queue is the factor of the run time by which a request waits in the endpoint.
@@ -124,6 +126,7 @@
 	effects := placer.effects(forecast.pool)
 	forecast.idle = float64(running+1) < idleShare*float64(slots)
 	forecast.busy = forecast.nearlyFull && effects.busy >= minBusySlowdown
+	forecast.lastSlot = slots > 1 && running+1 >= slots
 	factor := effects.slowdown(forecast.reported)
 	if forecast.cold {
 		factor *= coldSlowdown
--- a/internal/placer/share.go
+++ b/internal/placer/share.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// RecordSilence records that the endpoint called name is silent beyond the limit for a
+// request; weight is as for RecordFailure.
+func (placer *Placer) RecordSilence(now time.Time, name string, request Request, weight float64) {
+	placer.RecordFailure(now, name, weight)
+	placer.mu.Lock()
+	defer placer.mu.Unlock()
+	placer.class(request).tail.RecordSilence()
+}
+
 // SilenceLimit returns the time after which the silence of an endpoint is not explained by
 // the work of a request; forecast is that with which the endpoint was chosen.
 func (placer *Placer) SilenceLimit(request Request, forecast Forecast) time.Duration {
--- a/internal/sharer/silence.go
+++ b/internal/sharer/silence.go
@@ -39,11 +39,18 @@
 // Record learns from a complete run and the time that was expected when the endpoint was
 // chosen.
 func (tail *Tail) Record(run, expected time.Duration) {
-	factor := tail.value()
-	if float64(run) > factor*float64(expected) {
-		factor *= 1 + tailStep*(1-tailShare)
-	} else {
-		factor *= 1 - tailStep*tailShare
+	tail.learn(float64(run) > tail.value()*float64(expected))
+}
+
+// RecordSilence learns from a run that was silent for longer than the limit. It may be given
+// up, and if only complete runs counted, the tail would fall to those shorter than itself.
+func (tail *Tail) RecordSilence() { tail.learn(true) }
+
+// learn moves the tail by whether a run exceeded it.
+func (tail *Tail) learn(exceeded bool) {
+	factor := tail.value() * (1 - tailStep*tailShare)
+	if exceeded {
+		factor = tail.value() * (1 + tailStep*(1-tailShare))
 	}
 	tail.factor = min(max(factor, minTail), maxTail)
 }
--- a/internal/sharer/standing.go
+++ b/internal/sharer/standing.go
@@ -28,7 +28,7 @@
 }
 
 // HeldBack reports whether requests that go before this one need the slots. Such a request
-// is served only by an endpoint that has several free slots.
+// is served only by an endpoint that has more than one free slot.
 func (standing Standing) HeldBack() bool { return standing.heldBack }
 
 // AboveShare reports whether the account uses more than its fair share.
