dispatcher: an attempt is either answered or given up

A silent attempt was cancelled even if its answer had arrived while the repeat waited for a slot, which could cut the answer's body. Its progress now changes once: to answered or to given up.

Ran: go test ./internal/sharer ./internal/dispatcher (also with -race).

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -310,6 +310,8 @@
 	}
 }
 
+var _ dispatcher.Watcher = (*slot)(nil)
+
 // slot is the assignment of one request to an endpoint.
 type slot struct {
 	assigner *Assigner
--- a/internal/dispatcher/race.go
+++ b/internal/dispatcher/race.go
@@ -245,10 +245,8 @@
 	silentAt time.Time
 	// ended is true once the outcome is known.
 	ended bool
-	// answered is true once the head of the answer has arrived.
-	answered atomic.Bool
-	// givenUp is true once the attempt was cancelled because its endpoint is silent.
-	givenUp atomic.Bool
+	// progress changes once, by the attempt's goroutine or by the request's.
+	progress atomic.Int32
 }
 
 func (attempt *attempt) run() {
@@ -280,10 +278,13 @@
 	exchange := &attempt.exchange
 	endpoint := exchange.slot.Endpoint()
 	answer, err := exchange.dispatcher.sender.Send(attempt.ctx, endpoint, exchange.call.Request)
+	if err == nil && !attempt.setProgress(attemptAnswered) {
+		_ = answer.Close() // The answer came too late.
+		err = NewFailure(Cancelled, true, nil)
+	}
 	if err != nil {
 		return nil, attempt.recordFailure(attempt.asSilent(asFailure(err)))
 	}
-	attempt.answered.Store(true)
 	answer.endpoint = endpoint.Name()
 	exchange.trackBody(answer)
 	return exchange.dispatcher.bufferAnswer(answer, exchange.call.plan.repeatable)
--- a/internal/dispatcher/silence.go
+++ b/internal/dispatcher/silence.go
@@ -52,7 +52,21 @@
 
 // isWatched reports whether the attempt may become silent.
 func (attempt *attempt) isWatched() bool {
-	return !attempt.ended && !attempt.silentAt.IsZero() && !attempt.answered.Load()
+	return !attempt.ended && !attempt.silentAt.IsZero() && attempt.progress.Load() == attemptWaits
+}
+
+// The progress of an attempt: it waits for the head of its answer until that has arrived, or
+// until the attempt is given up because its endpoint is silent.
+const (
+	attemptWaits int32 = iota
+	attemptAnswered
+	attemptGivenUp
+)
+
+// setProgress ends the wait for the head of the answer, and reports whether nothing else
+// has.
+func (attempt *attempt) setProgress(progress int32) bool {
+	return attempt.progress.CompareAndSwap(attemptWaits, progress)
 }
 
 // handleSilence gives up the attempts that are silent at now and repeats them elsewhere, if
@@ -78,13 +92,12 @@
 func (race *race) recordSilence(silent *attempt, now time.Time) {
 	dispatcher, call, exchange := race.dispatcher, race.call, &silent.exchange
 	exchange.slot.(Watcher).RecordSilence()
-	replaced := race.hasOther(silent) || race.repeatSilent()
+	replaced := (race.hasOther(silent) || race.repeatSilent()) && silent.setProgress(attemptGivenUp)
 	dispatcher.meters.silence(replaced)
 	dispatcher.journal.Failure("endpoint silent", "request", call.id, "number", silent.number, "endpoint", exchange.slot.Endpoint().Name(),
 		"for", now.Sub(exchange.start), "replaced", replaced, "repeatable", call.plan.repeatable)
 	dispatcher.recorder.Record(recorder.KindRetry, call.service, call.id+" silent endpoint "+exchange.slot.Endpoint().Name())
 	if replaced {
-		silent.givenUp.Store(true)
 		silent.cancel()
 	}
 }
@@ -92,7 +105,7 @@
 // hasOther reports whether another attempt runs that was not given up.
 func (race *race) hasOther(silent *attempt) bool {
 	for _, attempt := range race.attempts {
-		if attempt != silent && !attempt.ended && !attempt.givenUp.Load() {
+		if attempt != silent && !attempt.ended && attempt.progress.Load() != attemptGivenUp {
 			return true
 		}
 	}
@@ -118,7 +131,7 @@
 // asSilent returns the failure of an attempt: that of its endpoint if the attempt was
 // given up.
 func (attempt *attempt) asSilent(failure *Failure) *Failure {
-	if attempt.givenUp.Load() && failure.cause == Cancelled {
+	if attempt.progress.Load() == attemptGivenUp && failure.cause == Cancelled {
 		return NewFailure(Silent, failure.sent, errSilent)
 	}
 	return failure
