--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -237,6 +237,8 @@
 	}
 }
 
+var _ dispatcher.Watcher = (*slot)(nil)
+
 // slot is the assignment of one request to an endpoint.
 type slot struct {
 	assigner *Assigner
@@ -260,7 +262,7 @@
 // RecordSilence records that the endpoint has been silent beyond the limit, before the
 // outcome of the request is known.
 func (slot *slot) RecordSilence() {
-	slot.assigner.placer.RecordFailure(time.Now(), slot.endpoint.Name(), silenceWeight)
+	slot.assigner.placer.RecordSilence(time.Now(), slot.endpoint.Name(), slot.request, silenceWeight)
 }
 
 // Weights of outcomes in the failure score of an endpoint.
