--- a/internal/offloader/offloader.go
+++ b/internal/offloader/offloader.go
@@ -57,8 +57,6 @@
 	// crowdedFactor is the cost of a run at a crowded endpoint, where a request delays the
 	// others by as much as it runs.
 	crowdedFactor = 2
-	// wellCost is the cost up to which a request runs well and does not gain by leaving.
-	wellCost = 1.2
 	// maxCost bounds an observed cost, and is that of a place where no endpoint answers.
 	maxCost = 4
 )
@@ -221,14 +219,11 @@
 	service := offloader.service(request.service)
 	least := float64(maxCost)
 	for _, sample := range samples {
-		// The request goes to the best of the places probed. One that runs well at a nearer
-		// place gains nothing by leaving.
-		switch {
-		case !sample.unknown:
-			least = min(least, sample.cost(request.normalRun))
-		case least > wellCost:
+		if sample.unknown {
 			continue
 		}
+		// The request goes to the best of the places probed.
+		least = min(least, sample.cost(request.normalRun))
 		service.observed[offloader.Distance(sample.place)].add(now, sample, least)
 	}
 	for _, sample := range samples {
