throttler: an owner that adopted its registration earns permits from its start

Change: the bucket counts from the start of the process, and an adopted registration shows that the list of hosts is whole, so that fallback limits apply at once.

--- a/internal/throttler/fleet_test.go
+++ b/internal/throttler/fleet_test.go
@@ -153,7 +153,6 @@
 		fleet.running(peer) && peer.view.at.After(node.view.at) {
 		node.view = peer.view
 	}
-	node.throttler.Update(fleet.now, node.view.at, node.view.members)
 	if !node.view.at.IsZero() && !node.known {
 		node.known = true
 		for _, member := range node.view.members {
@@ -162,6 +161,7 @@
 			}
 		}
 	}
+	node.throttler.Update(fleet.now, node.view.at, node.view.members)
 	_, isRegistered := fleet.registered[name]
 	if !fleet.connected(name, "") || fleet.now.Sub(node.renewedAt) < 2500*time.Millisecond && isRegistered {
 		return
--- a/internal/throttler/grant.go
+++ b/internal/throttler/grant.go
@@ -47,7 +47,7 @@
 		share.isVouched = true
 		from := now
 		if assumed {
-			from = share.since // No host has granted permits since the restart.
+			from = throttler.startedAt // No host has granted permits since the restart.
 		}
 		share.bucket = newBucket(from, share.bucket.rate, share.bucket.burst)
 		if assumed {
--- a/internal/throttler/roster.go
+++ b/internal/throttler/roster.go
@@ -141,8 +141,11 @@
 		next.lists = next.lists[1:]
 	}
 	if now.Sub(checkedAt) <= throttler.bound {
-		// Hosts that start together are all listed one bound later.
-		throttler.fallbackFrom.CompareAndSwap(0, int64(now.Sub(throttler.startedAt)+throttler.bound))
+		from := now.Sub(throttler.startedAt)
+		if throttler.adopted.Load() == 0 {
+			from += throttler.bound // Hosts that start together are all listed one bound later.
+		}
+		throttler.fallbackFrom.CompareAndSwap(0, int64(from))
 	}
 	throttler.remember(now, next, members)
 	throttler.roster.Store(next)
