commander: chivesctl check checks a gateway's configuration

The exit status is 0 without findings, 1 with findings, and 2 if a file can't be read or the command line is wrong. Package platform decodes the stored form; its errors name the line, column and field, but no value, which may be an API key. The decoder's conversion of routes and limits is now shared by both.

TestInspection runs the command line on 16 files and command lines; no API key is in the output, and each configuration without findings is accepted by Decoder.Table.

--- a/cmd/chivesctl/main.go
+++ b/cmd/chivesctl/main.go
@@ -16,6 +16,6 @@
 	defer stop()
 	if err := commander.New(os.Stdin, os.Stdout).Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(commander.ExitStatus(err))
 	}
 }
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -31,6 +31,8 @@
 	flagOut      = "out"
 	flagMember   = "member"
 	flagGateway  = "gateway"
+	flagAgainst  = "against"
+	flagRegion   = "region"
 )
 
 // Commander runs the command line of chivesctl.
@@ -68,7 +70,7 @@
 			&cli.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "run the statements in `FILE`, or in the standard input for -"},
 			&cli.StringFlag{Name: flagAgain, Usage: "repeat a command whose outcome was unknown; `ID@TIME` is in the error message"},
 		},
-		Commands: []*cli.Command{commander.keygenCommand(), commander.bootstrapCommand(), commander.localViewCommand()},
+		Commands: []*cli.Command{commander.keygenCommand(), commander.bootstrapCommand(), commander.localViewCommand(), commander.checkCommand()},
 		Action:   commander.runStatements,
 	}
 }
