locator: shares of quotas belong to hosts with fast links

Cause: any host of a region may own shares, so that each host asked some hundred others, and owners with a sixth of a core answered late. Change: among the hosts at the least distance, those with the fastest link own the shares.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -115,7 +115,9 @@
 }
 
 // First returns the index of the host to which something called key at place is assigned,
-// as Owners does for one host, or -1 if there are no hosts. It does not allocate.
+// or -1 if there are no hosts: among the hosts at the least distance those with the fastest
+// link, and of them the one with the highest weight. A few hosts with fast links then serve
+// all others, so that each host needs links to few. It does not allocate.
 func First(hosts []definer.Host, place definer.Place, key string) int {
 	best, bestTier, bestWeight := -1, 0, uint64(0)
 	for index, host := range hosts {
@@ -126,12 +128,9 @@
 		case host.Place().Region() == place.Region():
 			tier = 1
 		}
-		if best >= 0 && tier < bestTier {
-			continue
-		}
 		weight := weight(host.Name(), key)
-		isBetter := weight > bestWeight || (weight == bestWeight && best >= 0 && host.Name() < hosts[best].Name())
-		if best < 0 || tier > bestTier || isBetter {
+		if best < 0 || cmp.Or(cmp.Compare(tier, bestTier), cmp.Compare(host.LinkRate(), hosts[best].LinkRate()),
+			cmp.Compare(weight, bestWeight), cmp.Compare(hosts[best].Name(), host.Name())) > 0 {
 			best, bestTier, bestWeight = index, tier, weight
 		}
 	}
