offloader, placer, loader: leaving by cost is a setting, off by default

Change: [routing] offloading = by-need (default, the rule before) or by-cost; prices and measured round trips apply in both. Tests of placer, offloader and loader pass.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -182,6 +182,7 @@
 	gateway.sender.SetDialect(platform.Dialect{})
 	gateway.placer = placer.New(gateway.self.Place(), gateway.self.Incarnation())
 	gateway.offloader = offloader.New(gateway.self.Place())
+	gateway.offloader.SetByCost(settings.OffloadsByCost())
 	gateway.offloader.SetBytePrices(settings.DataCentreBytePrice(), settings.RegionBytePrice())
 	gateway.offloader.SetJournal(gateway.log)
 	gateway.offloader.SetRegistry(gateway.registry)
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -49,6 +49,7 @@
 	answerHeaderBytes int
 
 	policy            string
+	offloading        string
 	holdTime          time.Duration
 	regionBytesPerSec int
 	centreBytePrice   time.Duration
@@ -187,6 +188,10 @@
 // RegionBytesPerSecond bounds the traffic of loans from each other region.
 func (settings *Settings) RegionBytesPerSecond() int { return settings.regionBytesPerSec }
 
+// OffloadsByCost reports whether shares of the requests leave the data centre where that
+// costs less.
+func (settings *Settings) OffloadsByCost() bool { return settings.offloading == "by-cost" }
+
 // DataCentreBytePrice is the delay that a byte between data centres of a region is worth.
 func (settings *Settings) DataCentreBytePrice() time.Duration { return settings.centreBytePrice }
 
--- a/internal/loader/table.go
+++ b/internal/loader/table.go
@@ -156,6 +156,11 @@
 		doc: "The bound on bytes per second for loans from each other region, including the requests and answers on borrowed slots.",
 		set: number(0, 100000000, func(settings *Settings) *int { return &settings.regionBytesPerSec }),
 	},
+	{
+		section: "routing", key: "offloading", defaultValue: "by-need", allowed: "by-need or by-cost",
+		doc: "When a gateway's requests leave their data centre: by-need where a request finds its own data centre crowded, too slow or too late; by-cost where that also costs less, for a share of the requests that follows the load.",
+		set: choice([]string{"by-need", "by-cost"}, func(settings *Settings) *string { return &settings.offloading }),
+	},
 	{
 		section: "routing", key: "data-centre-byte-price", defaultValue: "800ns", allowed: "a time from 0s to 1ms",
 		doc: "The delay that sending a byte of a request or answer between data centres of a region is worth; a gateway's requests leave their data centre if that saves more.",
--- a/internal/offloader/offloader.go
+++ b/internal/offloader/offloader.go
@@ -78,8 +78,11 @@
 	// bytePrices holds the price of a byte in nanoseconds by distance; set before the
 	// first use.
 	bytePrices [distances]float64
-	journal    Journal
-	meters     meters
+	// byCost is true if shares of the requests leave where that costs less. Otherwise
+	// requests leave only for what they need themselves; set before the first use.
+	byCost  bool
+	journal Journal
+	meters  meters
 	// mu guards the fields below.
 	mu sync.Mutex
 	// roundTrips holds the round trip to each data centre that was reached.
@@ -97,6 +100,13 @@
 	return offloader
 }
 
+// SetByCost sets whether shares of the requests leave the data centre where that costs
+// less. Call it before the first use.
+func (offloader *Offloader) SetByCost(byCost bool) { offloader.byCost = byCost }
+
+// ByCost reports whether shares of the requests leave where that costs less.
+func (offloader *Offloader) ByCost() bool { return offloader.byCost }
+
 // SetBytePrices sets the delays that a byte between data centres of a region and between
 // regions is worth. Call it before the first use.
 func (offloader *Offloader) SetBytePrices(near, far time.Duration) {
--- a/internal/placer/offload.go
+++ b/internal/placer/offload.go
@@ -22,6 +22,9 @@
 // can be answered in time at a nearer one. One that may go to another region may also go
 // to another data centre, which is probed first. mu is held.
 func (placer *Placer) mayLeave(now time.Time, pool string, class *class, request Request) [distanceCount]bool {
+	if !placer.offloader.ByCost() {
+		return [distanceCount]bool{distanceCentre: true, distanceRegion: true}
+	}
 	properties := offloaded(pool, class, request)
 	far := placer.offloader.MayLeave(now, properties, offloader.Far, request.draw)
 	near := far || placer.offloader.MayLeave(now, properties, offloader.Near, request.draw)
@@ -32,7 +35,7 @@
 // request if the best choice would have it refused: the price of its bytes is worth less
 // than an answer. mu is held.
 func (placer *Placer) preferServed(now time.Time, best Choice, candidates []Candidate, class *class, request Request) Choice {
-	if !best.found || Judge(best, request.waited) != Refuse {
+	if !placer.offloader.ByCost() || !best.found || Judge(best, request.waited) != Refuse {
 		return best
 	}
 	served, least := best, math.Inf(1)
@@ -54,6 +57,9 @@
 // RecordRound records a round of probes for a request: its tiers, of which the first
 // probed were probed, and the endpoints that answered and may get the request.
 func (placer *Placer) RecordRound(now time.Time, tiers []Tier, probed int, candidates []Candidate, request Request) {
+	if !placer.offloader.ByCost() {
+		return
+	}
 	placer.mu.Lock()
 	defer placer.mu.Unlock()
 	class, ok := placer.classes[request.class]
--- a/internal/placer/offload_test.go
+++ b/internal/placer/offload_test.go
@@ -83,6 +83,7 @@
 		for host := range hostsPerCentre {
 			placer := New(centre.place, uint64(index*hostsPerCentre+host))
 			placer.offloader.SetRegistry(centre.registry)
+			placer.offloader.SetByCost(true)
 			if centres.price > 0 {
 				placer.offloader.SetBytePrices(centres.price, centres.price)
 			}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -248,7 +248,9 @@
 	// mayLeave holds, by distance, whether the request may leave the data centre although
 	// it can be answered in time there; waited is the time for which it has waited.
 	mayLeave [distanceCount]bool
-	waited   time.Duration
+	// byCost is true if a request that would be refused at home is looked for elsewhere.
+	byCost bool
+	waited time.Duration
 	// callerLeft is the time until the caller's own deadline.
 	callerLeft time.Duration
 	// standing is the request's place among others under pressure.
@@ -311,6 +313,7 @@
 	best.waited = request.waited
 	if best.found {
 		best.mayLeave = placer.mayLeave(now, best.forecast.pool, class, request)
+		best.byCost = placer.offloader.ByCost()
 		class.pool = best.forecast.pool
 		class.recordPriority(now, request.priority)
 		best.pressure = placer.effects(best.forecast.pool).recordChoice(now, best.forecast.crowded)
--- a/internal/placer/share_test.go
+++ b/internal/placer/share_test.go
@@ -73,7 +73,7 @@
 // request reaches a full queue.
 func playShares(t *testing.T, name string, deployment deployment, accounts bool) (credit float64, inTime map[string]float64) {
 	t.Helper()
-	const seeds = 3
+	const seeds = 8
 	inTime, answered, asked, twice := make(map[string]float64), make(map[string]float64), make(map[string]float64), 0
 	deployment.classes = slices.Clone(deployment.classes)
 	for index := range deployment.classes {
--- a/internal/placer/tiers.go
+++ b/internal/placer/tiers.go
@@ -100,7 +100,7 @@
 	case choice.fastEnough && !choice.forecast.crowded:
 		return false
 	}
-	return choice.mayLeave[tier.distance] || Judge(choice, choice.waited) == Refuse
+	return choice.mayLeave[tier.distance] || choice.byCost && Judge(choice, choice.waited) == Refuse
 }
 
 // Distances of an endpoint from the host: the same data centre, the same region,
