--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -248,7 +248,7 @@
 	// mayLeave holds, by distance, whether the request may leave the data centre although
 	// it can be answered in time there; waited is the time for which it has waited.
 	mayLeave [distanceCount]bool
-	// byCost is true if a request that would be refused at home is looked for elsewhere.
+	// byCost is true if a request that would be refused in its own data centre may leave it.
 	byCost bool
 	waited time.Duration
 	// callerLeft is the time until the caller's own deadline.
