--- a/review/standin2/harness.go
+++ b/review/standin2/harness.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,6 +87,7 @@
 type gateway struct {
 	name                             string
 	front, ready, directory, control string
+	metrics                          string
 	process                          *exec.Cmd
 	ended                            chan struct{}
 }
@@ -116,10 +118,22 @@
 	if err != nil {
 		return nil, err
 	}
-	gateway := &gateway{
+	return deployment.startAt(&gateway{
 		name: name, front: addresses[0], ready: addresses[1], directory: addresses[2], control: addresses[3],
-		ended: make(chan struct{}),
-	}
+		metrics: addresses[4], ended: make(chan struct{}),
+	}, true)
+}
+
+// restartGateway starts a gateway that has ended again, at its addresses.
+func (deployment *deployment) restartGateway(ended *gateway) (*gateway, error) {
+	next := *ended
+	next.process, next.ended = nil, make(chan struct{})
+	return deployment.startAt(&next, false)
+}
+
+// startAt starts the process of gateway.
+func (deployment *deployment) startAt(gateway *gateway, first bool) (*gateway, error) {
+	name := gateway.name
 	template, err := os.ReadFile("deploy/gateway.ini")
 	if err != nil {
 		return nil, err
@@ -129,11 +143,11 @@
 		"{{listen.front}}", gateway.front, "{{listen.control}}", gateway.control,
 		"{{limits.link_mbps}}", "200", "{{platform.address}}", deployment.store.Addr().String(),
 		"{{listen.ready_address}}", gateway.ready, "{{listen.directory}}", gateway.directory,
-		"{{ip}}:9100", addresses[4], "{{#zones}}{{@}}={{.}}{{,}} {{/zones}}", "tbilisi-vake=tbilisi",
-		"{{bounds.config_apply_ms}}", "3000", "{{first_start}}", "true",
+		"{{ip}}:9100", gateway.metrics, "{{#zones}}{{@}}={{.}}{{,}} {{/zones}}", "tbilisi-vake=tbilisi",
+		"{{bounds.config_apply_ms}}", "3000", "{{first_start}}", strconv.FormatBool(first),
 		"{{bounds.budget_slack}}", "170", "{{bounds.probes_per_s}}", "42",
 		"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.grace_s}}", "6",
-		"{{#seeds}}seed-{{@}}={{.}}{{,}} {{/seeds}}", "seed-0="+gateway.control,
+		"{{#seeds}}seed-{{@}}={{.}}{{,}} {{/seeds}}", "seed-0="+deployment.seed(gateway),
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("deploy/gateway.ini has a placeholder that is not known here:\n%s", text)
@@ -142,7 +156,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(deployment.folder, name+".log"))
+	log, err := os.OpenFile(filepath.Join(deployment.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -164,6 +178,14 @@
 	return gateway, nil
 }
 
+// seed returns the control address of the first gateway.
+func (deployment *deployment) seed(starting *gateway) string {
+	if len(deployment.gateways) > 0 {
+		return deployment.gateways[0].control
+	}
+	return starting.control
+}
+
 // awaitReady waits until GET /-/ready is answered with 200.
 func (gateway *gateway) awaitReady(limit time.Duration) error {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
