sender: an unsized answer that a reset cuts during an upload is not complete

Callers got a part of an answer as a complete one (MIXED): an endpoint answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a socket reports a reset once, to the first call. One task writes the upload and another reads the answer. If the write gets the reset, the read finds the end of the connection, which is also how an answer without a length ends. On a bare pair of sockets: after a part and a reset, write gives ECONNRESET and read then gives the part and the end; read alone gives the part and ECONNRESET. After a part, a half close and a reset, write gives EPIPE: that answer had ended in order.

Change: a body that ends with its connection is read by unsizedBody. At its end it stops the pending write, waits for its result, and asks validator.CheckEnd, which decides by the first error of a write. An answer that ends in order while its endpoint reads on, or before a later reset, stays whole.

Evidence: TestUnsizedAnswerDuringUpload reads the answer after the write has ended, TestUnsizedAnswerDuringWrite while the write has not returned.

TestUnsizedAnswerDuringUpload/reset,_upload_by_chunks: got <nil>, want http_response_incomplete TestUnsizedAnswerDuringUpload/reset,_upload_by_length: got <nil>, want http_response_incomplete TestUnsizedAnswerDuringWrite: an answer cut by a reset is read as complete: "half"

--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -13,6 +13,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -38,6 +39,10 @@
 	reader *bufio.Reader
 	// readLimit is how many bytes the reader may still read from the connection.
 	readLimit int64
+	// mu is held during a write and guards writeErr.
+	mu sync.Mutex
+	// writeErr is the first error of a write.
+	writeErr error
 	// written counts the bytes sent.
 	written int64
 	// key is the connection's key in the pool.
@@ -57,13 +62,20 @@
 	}
 	sender.meters.connect()
 	sender.surveyor.RecordRoundTrip(time.Now(), endpoint.Place(), time.Since(start))
-	connection := &connection{Conn: conn, number: sender.dialed.Add(1), key: connectionKey(endpoint), readLimit: math.MaxInt64}
-	connection.reader = bufio.NewReaderSize(&limitedReader{connection: connection}, bufferBytes)
+	connection := newConnection(conn)
+	connection.number = sender.dialed.Add(1)
+	connection.key = connectionKey(endpoint)
 	connection.lastUsed = time.Now()
 	connection.expires = connection.lastUsed.Add(defaultIdleTimeout)
 	return connection, nil
 }
 
+func newConnection(conn net.Conn) *connection {
+	connection := &connection{Conn: conn, readLimit: math.MaxInt64}
+	connection.reader = bufio.NewReaderSize(&limitedReader{connection: connection}, bufferBytes)
+	return connection
+}
+
 // connectionKey returns the pool's key for endpoint. It includes the start time,
 // so that a restarted endpoint gets new connections.
 func connectionKey(endpoint definer.Endpoint) string {
@@ -91,11 +103,25 @@
 
 // Write sends data and counts the bytes sent.
 func (connection *connection) Write(data []byte) (int, error) {
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
 	count, err := connection.Conn.Write(data)
 	connection.written += int64(count)
+	if connection.writeErr == nil {
+		connection.writeErr = err
+	}
 	return count, err
 }
 
+// endWrites makes pending and later writes fail, waits for a pending one, and returns the
+// first error of a write.
+func (connection *connection) endWrites() error {
+	_ = connection.SetWriteDeadline(time.Unix(1, 0)) // It fails only on a closed connection.
+	connection.mu.Lock()
+	defer connection.mu.Unlock()
+	return connection.writeErr
+}
+
 // interrupt makes pending and later reads and writes fail.
 func (connection *connection) interrupt() { _ = connection.SetDeadline(time.Unix(1, 0)) }
 
@@ -130,6 +156,7 @@
 		}
 		switch status := response.StatusCode; {
 		case status >= minFinalStatus && status <= maxFinalStatus:
+			connection.frame(response)
 			return response, nil
 		case status < http.StatusContinue, status > maxFinalStatus, status == http.StatusSwitchingProtocols:
 			return nil, fmt.Errorf("%w: %03d", errInvalidStatus, status)
--- a/internal/sender/dialect.go
+++ b/internal/sender/dialect.go
@@ -102,8 +102,3 @@
 
 // draining reports whether the header marks the endpoint as draining.
 func draining(header http.Header) bool { return header.Get(HeaderEndpointState) == "draining" }
-
-// delimited reports whether a truncated body can be detected.
-func delimited(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
-}
