sender, validator: an answer with an invalid line in its head is no answer

Callers got answers whose head names a field with a blank, within the name or before the colon, without that line, and answers with a folded line, behind the signature's line with the signature changed (MIXED). If the name was a length or a coding, they got a body that was not the endpoint's. A rejection with such a line was passed on as the promise that the request has not run.

Cause: net/http accepts blanks in names for compatibility, joins folded lines, and takes a line of blanks as the end of the head. The sender added a check of the status only.

Change: package validator decides which lines are valid, and the sender checks each line of a head when it has arrived, before net/http parses it: for requests and health checks, of final and interim answers, rejections and answers to other requests. The check of the status moves there. An attempt fails at the first invalid line, also if the endpoint then falls silent.

Control bytes, NUL, DEL, bytes over 127, empty names and lines without a colon were refused before. Their attempts now report http_response_incomplete in place of connection_terminated; both end with 502. TestInvalidStatus shares its steps with the new tests as checkInvalidAnswer, which also counts the attempts now. TestValidHeads guards against refusing unusual heads.

--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -144,37 +144,6 @@
 // excludedHeaders lists the headers that head writes itself.
 var excludedHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true}
 
-// readHead reads the head of the next response and skips interim (1xx)
-// responses.
-func (connection *connection) readHead(method string, maxBytes int) (*http.Response, error) {
-	connection.readLimit = int64(maxBytes)
-	defer func() { connection.readLimit = math.MaxInt64 }()
-	for {
-		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		switch status := response.StatusCode; {
-		case status >= minFinalStatus && status <= maxFinalStatus:
-			connection.frame(response)
-			return response, nil
-		case status < http.StatusContinue, status > maxFinalStatus, status == http.StatusSwitchingProtocols:
-			return nil, fmt.Errorf("%w: %03d", errInvalidStatus, status)
-		}
-	}
-}
-
-// The status codes of final responses. No request asks for another protocol, so that 101
-// is no valid status either.
-const (
-	minFinalStatus = 200
-	maxFinalStatus = 599
-)
-
-// errInvalidStatus is the error for a response whose status code is neither that of a
-// final nor of an interim response. Nothing that follows on the connection can be trusted.
-var errInvalidStatus = errors.New("the answer has an invalid status code")
-
 // updateExpiry sets the idle timeout from the response's Keep-Alive header.
 func (connection *connection) updateExpiry(keepAlive string) {
 	connection.lastUsed = time.Now()
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -18,6 +18,7 @@
 	"github.com/chivespool/chivespool/internal/definer"
 	"github.com/chivespool/chivespool/internal/dialer"
 	"github.com/chivespool/chivespool/internal/dispatcher"
+	"github.com/chivespool/chivespool/internal/validator"
 )
 
 // Limits on body sizes and on responses to other requests.
@@ -229,7 +230,7 @@
 func (exchange *exchange) read() (*http.Response, Verdict, error) {
 	for range maxForeign {
 		response, err := exchange.connection.readHead(exchange.request.Method(), exchange.sender.headBytes)
-		if errors.Is(err, errInvalidStatus) {
+		if errors.Is(err, validator.ErrInvalid) {
 			return nil, Invalid, dispatcher.NewFailure(dispatcher.Malformed, true, err)
 		}
 		if err != nil {
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -1,15 +1,90 @@
-// Package validator decides whether a response received over HTTP/1.1 is whole, for
-// package sender, which reads the responses of endpoints. It does no I/O.
+// Package validator decides whether a response received over HTTP/1.1 is valid and
+// whole, for package sender, which reads the responses of endpoints. It does no I/O.
+//
+// It is stricter than net/http, which accepts names of fields that contain blanks and
+// joins a line that begins with a blank to the field before it.
 package validator
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"syscall"
+
+	"golang.org/x/net/http/httpguts"
 )
 
+// ErrInvalid is the error for a response that violates HTTP. Nothing that follows on its
+// connection can be trusted.
+var ErrInvalid = errors.New("the answer is not valid HTTP")
+
+// errNotHTTP is the error for bytes that are no response at all. The attempt is treated
+// as one whose connection broke.
+var errNotHTTP = errors.New("the answer does not begin with an HTTP/1 status line")
+
+// Head checks the head of a response line by line. The zero value expects the status
+// line.
+type Head struct {
+	// started is true after the status line.
+	started bool
+}
+
+// Check checks the next line, without its line feed, and reports whether it ends the
+// head.
+func (head *Head) Check(line []byte) (done bool, err error) {
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if !head.started {
+		head.started = true
+		return false, checkStatusLine(string(line))
+	}
+	if len(line) == 0 {
+		return true, nil
+	}
+	return false, checkField(line)
+}
+
+func checkStatusLine(line string) error {
+	protocol, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	major, _, ok := http.ParseHTTPVersion(protocol)
+	status, err := strconv.ParseUint(code, 10, 0)
+	if !ok || major != 1 || len(code) != len("200") || err != nil {
+		return errNotHTTP
+	}
+	return checkStatus(int(status))
+}
+
+// The status codes of final responses, and the lowest of interim ones.
+const (
+	minInterimStatus = 100
+	minFinalStatus   = 200
+	maxFinalStatus   = 599
+)
+
+// checkStatus checks the status code of a final or an interim response. No request asks
+// for another protocol, so that 101 is invalid, too.
+func checkStatus(status int) error {
+	if status < minInterimStatus || status > maxFinalStatus || status == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: status %03d", ErrInvalid, status)
+	}
+	return nil
+}
+
+// checkField checks a line with a field. A line that continues the field before it has
+// no valid name.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return fmt.Errorf("%w: field %.80q", ErrInvalid, line)
+	}
+	return nil
+}
+
 // CheckEnd returns nil if a body that ends with its connection is whole, that is, if the
 // peer ended the connection in order. WriteErr is the first error of a write on the
 // connection, or nil.
