sender, validator: an invalid trailer section cuts a body in chunks

Callers got a body in chunks as complete although a line of its trailer section had a blank in its name or was folded.

Cause: net/http reads trailers as it reads heads, and the sender checked heads only.

Change: chunkedBody reads the trailer section with the lines of heads: awaitLines and validator.CheckTrailer, within the same limit of bytes. Trailers are still not passed on.

A trailer section may now have as many bytes as a head; net/http limited it to the 4 KB of the buffer.

--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -3,13 +3,22 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httputil"
 
 	"github.com/chivespool/chivespool/internal/validator"
 )
 
-// frame replaces the body of response, if its framing needs more than net/http checks.
-func (connection *connection) frame(response *http.Response) {
-	if !delimited(response) {
+// frame replaces the body of response where its framing needs more than net/http checks.
+// A trailer section may have maxTrailerBytes bytes.
+func (connection *connection) frame(response *http.Response, maxTrailerBytes int) {
+	switch {
+	case response.Body == http.NoBody || response.ContentLength >= 0:
+		// For a body with a length, net/http fails if the connection ends before.
+	case delimited(response):
+		response.Body = &chunkedBody{
+			connection: connection, chunks: httputil.NewChunkedReader(connection.reader), maxTrailerBytes: maxTrailerBytes,
+		}
+	default:
 		response.Body = &unsizedBody{connection: connection}
 	}
 }
@@ -39,3 +48,32 @@
 
 // Close does nothing; the exchange closes the connection.
 func (unsizedBody *unsizedBody) Close() error { return nil }
+
+// chunkedBody is a body in chunks. It discards the trailer section.
+type chunkedBody struct {
+	connection      *connection
+	chunks          io.Reader
+	maxTrailerBytes int
+	// ended is true after the trailer section.
+	ended bool
+}
+
+// Read reads the body. The body is whole only with a valid trailer section behind its
+// last chunk.
+func (chunkedBody *chunkedBody) Read(buffer []byte) (int, error) {
+	if chunkedBody.ended {
+		return 0, io.EOF
+	}
+	count, err := chunkedBody.chunks.Read(buffer)
+	if err != io.EOF {
+		return count, err
+	}
+	if err := chunkedBody.connection.discardTrailer(chunkedBody.maxTrailerBytes); err != nil {
+		return count, err
+	}
+	chunkedBody.ended = true
+	return count, io.EOF
+}
+
+// Close does nothing; the exchange closes the connection.
+func (chunkedBody *chunkedBody) Close() error { return nil }
--- a/internal/sender/response.go
+++ b/internal/sender/response.go
@@ -14,10 +14,9 @@
 // interim (1xx) responses. A response that violates HTTP fails with
 // [validator.ErrInvalid].
 func (connection *connection) readHead(method string, maxBytes int) (*http.Response, error) {
-	connection.readLimit = int64(maxBytes)
-	defer func() { connection.readLimit = math.MaxInt64 }()
+	defer connection.limitReads(maxBytes)()
 	for {
-		if err := connection.awaitLines(new(validator.Head).Check); err != nil {
+		if _, err := connection.awaitLines(new(validator.Head).Check); err != nil {
 			return nil, err
 		}
 		response, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
@@ -25,20 +24,38 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			connection.frame(response)
+			connection.frame(response, maxBytes)
 			return response, nil
 		}
 	}
 }
 
+// discardTrailer reads the trailer section of a body in chunks, of at most maxBytes bytes.
+func (connection *connection) discardTrailer(maxBytes int) error {
+	defer connection.limitReads(maxBytes)()
+	size, err := connection.awaitLines(validator.CheckTrailer)
+	if err != nil {
+		return err
+	}
+	_, err = connection.reader.Discard(size)
+	return err
+}
+
+// limitReads makes the reader fail after maxBytes more bytes, until end is called.
+func (connection *connection) limitReads(maxBytes int) (end func()) {
+	connection.readLimit = int64(maxBytes)
+	return func() { connection.readLimit = math.MaxInt64 }
+}
+
 // awaitLines reads lines into the reader's buffer, and passes each to check once it has
-// arrived, without its line feed, until check is done or fails.
-func (connection *connection) awaitLines(check func(line []byte) (done bool, err error)) error {
+// arrived, without its line feed, until check is done or fails. It returns the size of
+// the lines.
+func (connection *connection) awaitLines(check func(line []byte) (done bool, err error)) (size int, err error) {
 	start, searched := 0, 0
 	for {
 		buffered, err := connection.peek(searched + 1)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		length := bytes.IndexByte(buffered[searched:], '\n')
 		if length < 0 {
@@ -47,7 +64,7 @@
 		}
 		end := searched + length
 		if done, err := check(buffered[start:end]); done || err != nil {
-			return err
+			return end + 1, err
 		}
 		start, searched = end+1, end+1
 	}
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -85,6 +85,20 @@
 	return nil
 }
 
+// CheckTrailer checks a line of the trailer section of a body in chunks, without its line
+// feed, and reports whether it ends the section. As in chunks, a line feed must follow a
+// carriage return.
+func CheckTrailer(line []byte) (done bool, err error) {
+	line, ok := bytes.CutSuffix(line, []byte("\r"))
+	if !ok {
+		return false, fmt.Errorf("%w: line feed without a carriage return in a trailer", ErrInvalid)
+	}
+	if len(line) == 0 {
+		return true, nil
+	}
+	return false, checkField(line)
+}
+
 // CheckEnd returns nil if a body that ends with its connection is whole, that is, if the
 // peer ended the connection in order. WriteErr is the first error of a write on the
 // connection, or nil.
