validator: an answer in HTTP/1.0 with a transfer coding is no answer

Callers got the size lines of chunks as a part of the body: an answer in HTTP/1.0 with "Transfer-Encoding: chunked" was read as a body that ends with its connection.

Cause: net/http ignores the field in HTTP/1.0, which has no transfer codings. By RFC 9112 (6.1) the framing of such an answer is faulty, also where it has a length.

Change: validator.Head refuses it. HTTP/1.0 without the field is read as before.

--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -32,6 +32,8 @@
 type Head struct {
 	// started is true after the status line.
 	started bool
+	// plain is true if the version, HTTP/1.0, has no transfer codings.
+	plain bool
 }
 
 // Check checks the next line, without its line feed, and reports whether it ends the
@@ -40,22 +42,26 @@
 	line = bytes.TrimSuffix(line, []byte("\r"))
 	if !head.started {
 		head.started = true
-		return false, checkStatusLine(string(line))
+		return false, head.checkStatusLine(string(line))
 	}
 	if len(line) == 0 {
 		return true, nil
 	}
+	if name, _, _ := bytes.Cut(line, []byte(":")); head.plain && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return false, fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrInvalid)
+	}
 	return false, checkField(line)
 }
 
-func checkStatusLine(line string) error {
+func (head *Head) checkStatusLine(line string) error {
 	protocol, rest, _ := strings.Cut(line, " ")
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	major, _, ok := http.ParseHTTPVersion(protocol)
+	major, minor, ok := http.ParseHTTPVersion(protocol)
 	status, err := strconv.ParseUint(code, 10, 0)
 	if !ok || major != 1 || len(code) != len("200") || err != nil {
 		return errNotHTTP
 	}
+	head.plain = minor == 0
 	return checkStatus(int(status))
 }
 
