sender: tests of answers with a length and in chunks beside a reset

TestUnsizedAnswerDuringUpload becomes TestAnswerDuringUpload: it has all framings, whole and cut answers, and reads the head before or after the upload has ended.

--- a/internal/sender/body_test.go
+++ b/internal/sender/body_test.go
@@ -23,31 +23,29 @@
 // Classify accepts every response.
 func (lenient) Classify(*http.Response, *dispatcher.Request, bool) Verdict { return Answered }
 
-// earlyBackend answers one request before it has read its body, without a length. Then
-// finish ends the connection.
+// earlyBackend answers one request before it has read its body. Then finish ends the
+// connection.
 type earlyBackend struct {
 	listener net.Listener
+	answer   string
 	finish   func(conn *net.TCPConn)
-	// received is closed when the answer has reached the sender.
+	// received is closed when the connection may end.
 	received chan struct{}
-	// done is closed when finish has returned.
-	done chan struct{}
 }
 
-func startEarlyBackend(t *testing.T, finish func(conn *net.TCPConn)) *earlyBackend {
+func startEarlyBackend(t *testing.T, answer string, finish func(conn *net.TCPConn)) *earlyBackend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	earlyBackend := &earlyBackend{listener: listener, finish: finish, received: make(chan struct{}), done: make(chan struct{})}
+	earlyBackend := &earlyBackend{listener: listener, answer: answer, finish: finish, received: make(chan struct{})}
 	go earlyBackend.run()
 	return earlyBackend
 }
 
 func (earlyBackend *earlyBackend) run() {
-	defer close(earlyBackend.done)
 	conn, err := earlyBackend.listener.Accept()
 	if err != nil {
 		return
@@ -56,7 +54,7 @@
 	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 		return
 	}
-	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+	_, _ = io.WriteString(conn, earlyBackend.answer)
 	<-earlyBackend.received
 	earlyBackend.finish(conn.(*net.TCPConn))
 }
@@ -88,66 +86,110 @@
 	return len(buffer), nil
 }
 
-// TestUnsizedAnswerDuringUpload guards against an answer that a reset has cut looking
-// complete. The socket reports a reset once: if a write of the request's body gets it, a
-// read finds the end of the connection. The test reads the answer only after that write.
-func TestUnsizedAnswerDuringUpload(t *testing.T) {
+// The ways in which an endpoint ends a connection.
+var (
+	halfCloseAndReset = func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		reset(conn)
+	}
+	halfCloseAndRead = func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, conn)
+	}
+)
+
+// TestAnswerDuringUpload guards against an answer that a reset has cut looking complete,
+// and against a whole one failing. The socket reports a reset once: if a write of the
+// request's body gets it, a read finds the end of the connection. The test reads the end
+// of the answer, or all of it, only after that write.
+func TestAnswerDuringUpload(t *testing.T) {
+	const (
+		unsized = "HTTP/1.1 200 OK\r\n\r\n"
+		sized   = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	)
 	for name, test := range map[string]struct {
+		answer string
 		finish func(conn *net.TCPConn)
 		// callerErr ends the body of the request.
 		callerErr error
 		whole     bool
 	}{
-		"reset": {finish: reset},
-		"half closed, then reset": {finish: func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			reset(conn)
-		}, whole: true},
-		"half closed, the caller leaves": {finish: func(conn *net.TCPConn) {
-			_ = conn.CloseWrite()
-			_, _ = io.Copy(io.Discard, conn)
-		}, callerErr: errors.New("the caller left"), whole: true},
+		"unsized, reset":                   {answer: unsized + "body", finish: reset},
+		"unsized and empty, reset":         {answer: unsized, finish: reset},
+		"unsized, half closed, then reset": {answer: unsized + "body", finish: halfCloseAndReset, whole: true},
+		"unsized, half closed, the caller leaves": {
+			answer: unsized + "body", finish: halfCloseAndRead, callerErr: errors.New("the caller left"), whole: true,
+		},
+		"sized, reset behind the last byte":  {answer: sized + "body", finish: reset, whole: true},
+		"sized, reset before the last byte":  {answer: sized + "bod", finish: reset},
+		"sized, closed before the last byte": {answer: sized + "bod", finish: halfCloseAndReset},
+		"chunks, reset behind the last line": {answer: chunked + "0\r\n\r\n", finish: reset, whole: true},
+		"chunks, reset in the last line":     {answer: chunked + "0\r\n\r", finish: reset},
+		"chunks, reset before the last one":  {answer: chunked, finish: reset},
+		"chunks, closed before the last one": {answer: chunked, finish: halfCloseAndReset},
 	} {
 		for framing, length := range map[string]int64{"length": 1 << 40, "chunks": -1} {
 			t.Run(name+", upload by "+framing, func(t *testing.T) {
-				earlyBackend := startEarlyBackend(t, test.finish)
-				sender := newSender(t)
-				sender.SetDialect(lenient{})
-				body := &endlessBody{ended: make(chan struct{}), err: test.callerErr}
-				request, err := dispatcher.NewRequest("id-1", "ledger", http.MethodPost, "/", nil).WithBody(body, length)
-				if err != nil {
-					t.Fatal(err)
-				}
-				connection, err := sender.dial(t.Context(), earlyBackend.endpoint())
-				if err != nil {
-					t.Fatal(err)
-				}
-				exchange := &exchange{
-					sender: sender, connection: connection, endpoint: earlyBackend.endpoint(), request: request, ctx: t.Context(),
-				}
-				answer, err := exchange.roundTrip()
-				if err != nil {
-					t.Fatal(err)
-				}
-				close(earlyBackend.received)
-				close(body.ended)
-				<-exchange.upload.done
-				got, err := io.ReadAll(answer)
-				_ = answer.Close()
-				<-earlyBackend.done
-				if string(got) != "half" {
-					t.Errorf("got %q", got)
-				}
-				if !test.whole {
-					wantFailure(t, err, dispatcher.Malformed)
-				} else if err != nil {
-					t.Errorf("a whole answer fails: %v", err)
+				for _, late := range []bool{false, true} {
+					earlyBackend := startEarlyBackend(t, test.answer, test.finish)
+					body := &endlessBody{ended: make(chan struct{}), err: test.callerErr}
+					got, err := earlyBackend.upload(t, body, length, late)
+					if test.whole && (got != "body" || err != nil) {
+						t.Errorf("head read late %v: a whole answer gives %q, %v", late, got, err)
+					} else if !test.whole && err == nil {
+						t.Errorf("head read late %v: an answer that was cut looks complete: %q", late, got)
+					}
 				}
 			})
 		}
 	}
 }
 
+// upload sends a request with body, and returns the body of its answer. The head is read
+// before the connection ends or, if late is true, after the upload has ended; the rest is
+// read after that.
+func (earlyBackend *earlyBackend) upload(t *testing.T, body *endlessBody, length int64, late bool) (string, error) {
+	t.Helper()
+	sender := newSender(t)
+	sender.SetDialect(lenient{})
+	request, err := dispatcher.NewRequest("id-1", "ledger", http.MethodPost, "/", nil).WithBody(body, length)
+	if err != nil {
+		t.Fatal(err)
+	}
+	connection, err := sender.dial(t.Context(), earlyBackend.endpoint())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	exchange := &exchange{
+		sender: sender, connection: connection, endpoint: earlyBackend.endpoint(), request: request, ctx: t.Context(),
+	}
+	var answer io.Reader
+	if late {
+		if err := exchange.write(); err != nil {
+			t.Fatal(err)
+		}
+	} else if answer, err = exchange.roundTrip(); err != nil {
+		t.Fatal(err)
+	}
+	close(earlyBackend.received)
+	close(body.ended)
+	<-exchange.upload.done
+	if late {
+		response, err := connection.readHead(http.MethodPost, 4096)
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer = response.Body
+	}
+	got, err := io.ReadAll(answer)
+	if !late && err != nil {
+		wantFailure(t, err, dispatcher.Malformed)
+	}
+	return string(got), err
+}
+
 // slowConn is a connection whose write has taken the reset from the socket, but returns
 // only when its deadline is set.
 type slowConn struct {
