connector, validator: a reply of the store with an invalid field name is lost

A reply whose head names a field with a blank was taken as whole, without that field. If it was the store's era, the reply counted as one of era 0.

Cause: net/http accepts such names, and the connector checked none.

A folded line can't be found there. The era is the only field of a reply that is read: one that a folded line has changed is no number and counts as era 0, which is refused where an era is known.

Evidence: TestBrokenReplies, before the change:

TestBrokenReplies/blank_behind_the_era: error is <nil>, want kind unavailable TestBrokenReplies/blank_behind_the_length: error is <nil>, want kind unknown

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/chivespool/chivespool/internal/dialer"
+	"github.com/chivespool/chivespool/internal/validator"
 )
 
 // DefaultTimeout bounds the time until the reply to a call begins, to which the wait
@@ -207,6 +208,9 @@
 		return NewError(lossKind(call.effect && sent.Load()), call.operation, err)
 	}
 	defer response.Body.Close()
+	if err := validator.CheckHead(response); err != nil {
+		return call.LostReplyError(err)
+	}
 	transfer.begin(response.Body, caller.timeout)
 	data, err := io.ReadAll(io.LimitReader(transfer, maxAnswerBytes))
 	if err != nil {
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -1,5 +1,6 @@
 // Package validator decides whether a response received over HTTP/1.1 is valid and
-// whole, for package sender, which reads the responses of endpoints. It does no I/O.
+// whole: for package sender, which reads the responses of endpoints line by line, and for
+// the clients that read responses with net/http. It does no I/O.
 //
 // It is stricter than net/http, which accepts names of fields that contain blanks and
 // joins a line that begins with a blank to the field before it.
@@ -91,6 +92,17 @@
 	return nil
 }
 
+// CheckHead checks the status and the names of the fields of a response that net/http has
+// parsed. It can't find folded lines.
+func CheckHead(response *http.Response) error {
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field %.80q", ErrInvalid, name)
+		}
+	}
+	return checkStatus(response.StatusCode)
+}
+
 // CheckTrailer checks a line of the trailer section of a body in chunks, without its line
 // feed, and reports whether it ends the section. As in chunks, a line feed must follow a
 // carriage return.
