client: a response that no entry host sends has an unknown outcome

Callers in Go got a response with status 000 or 600, with an invalid field name, or without a length as the answer. The refusal "host-leaving, not run" in such a response was believed, and the request sent again.

Cause: the client took whatever net/http parses. Entry hosts send each body with its length or in chunks; without either, a body that is cut looks complete.

Change: checkResponse asks validator.CheckHead and requires a length, chunks or no body. Otherwise the outcome is unknown, and only a repeatable or keyed request is sent again, as after a lost connection.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -18,6 +18,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"github.com/chivespool/chivespool/internal/validator"
 )
 
 // Limits of a Client.
@@ -159,6 +161,10 @@
 	if err != nil {
 		return nil, &OutcomeUnknownError{address: address, cause: err}
 	}
+	if err := checkResponse(response); err != nil {
+		_ = response.Body.Close()
+		return nil, &OutcomeUnknownError{address: address, cause: err}
+	}
 	if response.Header.Get("Content-Type") == ProblemType && response.Header.Get("Proxy-Status") != "" {
 		defer func() { _ = response.Body.Close() }()
 		return nil, readProblem(address, response.Body)
@@ -166,6 +172,18 @@
 	return response, nil
 }
 
+// errNoLength is the error for a response whose body would be whole wherever it ends.
+var errNoLength = errors.New("the response has neither a length nor chunks; check that the address is an entry host's")
+
+// checkResponse checks that an entry host can have sent the head of response. Entry hosts
+// send each body with its length or in chunks.
+func checkResponse(response *http.Response) error {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody {
+		return errNoLength
+	}
+	return validator.CheckHead(response)
+}
+
 func readProblem(address string, body io.Reader) error {
 	problem := &Problem{}
 	if err := json.NewDecoder(io.LimitReader(body, maxDocumentBytes)).Decode(problem); err != nil {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -208,3 +208,49 @@
 		t.Fatalf("got %v, want unreachable", err)
 	}
 }
+
+// TestBrokenResponses has the first entry host send a response that is cut or malformed.
+// Its outcome is unknown, and a request that is not repeatable is not sent again.
+func TestBrokenResponses(t *testing.T) {
+	const refused = "HTTP/1.1 503 Busy\r\nContent-Type: " + ProblemType + "\r\nProxy-Status: entry-1\r\n"
+	for name, text := range map[string]string{
+		"status 000":             "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok",
+		"status 600":             "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+		"blank before the colon": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 1\r\n\r\nok",
+		"no length":              "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+		"refusal, blank":         refused + "X Odd: 1\r\nContent-Length: 34\r\n\r\n" + `{"kind":"host-leaving","ran":"no"}`,
+		"refusal, cut":           refused + "Transfer-Encoding: chunked\r\n\r\n1f\r\n" + `{"kind":"host-leaving","ran":"n`,
+		"refusal, no length":     refused + "Connection: close\r\n\r\n" + `{"kind":"host-leaving","ran":"no"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			second := startEntryHost(t, ok)
+			first := startEntryHost(t, func(writer http.ResponseWriter, _ *http.Request) {
+				conn, _, err := writer.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(conn, text)
+				_ = conn.Close()
+			})
+			first.setAddresses(first.address(), second.address())
+			body, err := newClient(t, first.address()).request(t, http.MethodPost, "")
+			var unknown *OutcomeUnknownError
+			if !errors.As(err, &unknown) || second.received.Load() != 0 {
+				t.Errorf("got %q, %v, sent again %v; want outcome unknown", body, err, second.received.Load() > 0)
+			}
+		})
+	}
+}
+
+// TestEmptyResponses checks that responses that have no body, and so no length, are not
+// taken for ones that were cut.
+func TestEmptyResponses(t *testing.T) {
+	for method, status := range map[string]int{http.MethodHead: http.StatusOK, http.MethodGet: http.StatusNoContent, http.MethodPost: http.StatusNotModified} {
+		entryHost := startEntryHost(t, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(status) })
+		if body, err := newClient(t, entryHost.address()).request(t, method, ""); err != nil || body != "" {
+			t.Errorf("%s, status %d: got %q, %v", method, status, body, err)
+		}
+	}
+}
