dispatcher: invalid answers in TestRace

An attempt whose answer is invalid is handled as one whose connection broke: it loses against the other attempt, and an unrepeatable request is not sent again. Four cases that held before keep that for hedges and retries.

--- a/internal/dispatcher/race_test.go
+++ b/internal/dispatcher/race_test.go
@@ -91,6 +91,7 @@
 	ok, slow := step{after: 100 * time.Millisecond, status: 200}, step{after: time.Second, status: 200}
 	serverError := step{after: 50 * time.Millisecond, status: 500}
 	lost := step{after: 50 * time.Millisecond, failure: NewFailure(ConnectionLost, true, nil)}
+	invalid := step{after: 350 * time.Millisecond, failure: NewFailure(Malformed, true, nil)}
 	shed := step{after: 5 * time.Millisecond, failure: NewFailure(Shed, true, nil)}
 	misdirected := step{after: 5 * time.Millisecond, failure: NewFailure(Misdirected, true, nil)}
 	for _, test := range []struct {
@@ -117,6 +118,10 @@
 		{"a refusal is retried on another endpoint", "once", []step{shed, misdirected, ok}, false, "200 endpoint-2", 3, 120 * time.Millisecond},
 		{"only refusals end as not run", "once", []step{shed, shed, shed, shed}, false, "overloaded no", 4, 30 * time.Millisecond},
 		{"refusals after a lost connection do not end as not run", "repeatable", []step{lost, shed, shed, shed}, false, "outcome-unknown unknown", 4, 300 * time.Millisecond},
+		{"an invalid answer loses against the hedge", "repeatable", []step{invalid, ok}, false, "200 endpoint-1", 2, 400 * time.Millisecond},
+		{"an invalid answer to the hedge loses", "repeatable", []step{slow, invalid}, false, "200 endpoint-0", 2, time.Second},
+		{"invalid answers to both attempts", "repeatable", []step{invalid, invalid}, false, "outcome-unknown unknown", 2, 700 * time.Millisecond},
+		{"an invalid answer to an unrepeatable request is not retried", "once", []step{invalid}, false, "outcome-unknown unknown", 1, 350 * time.Millisecond},
 		{"the route's timeout ends the request", "once", []step{{after: time.Minute}}, false, "deadline-exceeded unknown", 1, 2 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
