--- /dev/null
+++ b/internal/messenger/frame_test.go
@@ -0,0 +1,22 @@
+package messenger
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/chivespool/chivespool/internal/encoder"
+)
+
+// TestCutFrames checks that a message of a peer that is cut after any byte is an error.
+func TestCutFrames(t *testing.T) {
+	digest := &encoder.Digest{Sender: "peer", Members: []*encoder.Member{{Name: "self"}, {Name: "other"}}}
+	var frame bytes.Buffer
+	if err := writeFrame(&frame, &encoder.Reply{Body: &encoder.Reply_Digest{Digest: digest}}, maxFrameBytes); err != nil {
+		t.Fatal(err)
+	}
+	for size := range frame.Len() {
+		if err := readFrame(bytes.NewReader(frame.Bytes()[:size]), new(encoder.Reply), maxFrameBytes); err == nil {
+			t.Errorf("a frame cut after %d of %d bytes is read as whole", size, frame.Len())
+		}
+	}
+}
