--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -316,8 +316,7 @@
 	ended bool
 }
 
-// Read reads the body. net/http detects truncation from the length, the last
-// chunk, or the way in which the connection ends.
+// Read reads the body, whose framing detects truncation; see connection.frame.
 func (answerBody *answerBody) Read(buffer []byte) (int, error) {
 	if answerBody.ended {
 		return 0, io.EOF
