acceptor: the first part of an answer is not held back

Callers got a closed connection without a status if an endpoint sent less than 4 KB of a body with a length over 32 KB and then reset the connection: neither 502 nor a part of the answer.

Cause: the head and the first part stay in the response's buffer until it is full. Only answers without a length were flushed.

Change: the first part of each answer that is not in memory is flushed.

--- a/internal/acceptor/serve.go
+++ b/internal/acceptor/serve.go
@@ -89,7 +89,8 @@
 	defer buffers.Put(buffer)
 	for {
 		count, err := answer.Read(buffer[:])
-		if !c.Response().Committed {
+		first := !c.Response().Committed
+		if first {
 			if refusal := new(refuser.Refusal); errors.As(err, &refusal) {
 				return refusal
 			}
@@ -109,7 +110,9 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		if answer.Length() < 0 {
+		if answer.Length() < 0 || first && !answer.Buffered() {
+			// The next part may come late or never. The caller must not wait for this one, or
+			// get no status.
 			c.Response().Flush()
 		}
 	}
