validator: a control byte in the status line makes an answer invalid

The reason in a status line could hold control bytes, which net/http accepts. Callers don't see the reason, but such bytes are no valid answer, as in the lines behind it.

Evidence: TestInvalidLineThenSilence/control_byte, before the change: the attempt lasted until its deadline.

--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -63,6 +63,9 @@
 		return errNotHTTP
 	}
 	head.plain = minor == 0
+	if !httpguts.ValidHeaderFieldValue(rest) {
+		return fmt.Errorf("%w: status line %.80q", ErrInvalid, line)
+	}
 	return checkStatus(int(status))
 }
 
