--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -33,8 +33,8 @@
 type Head struct {
 	// started is true after the status line.
 	started bool
-	// plain is true if the version, HTTP/1.0, has no transfer codings.
-	plain bool
+	// noCodings is true if the version, HTTP/1.0, has no transfer codings.
+	noCodings bool
 }
 
 // Check checks the next line, without its line feed, and reports whether it ends the
@@ -48,7 +48,7 @@
 	if len(line) == 0 {
 		return true, nil
 	}
-	if name, _, _ := bytes.Cut(line, []byte(":")); head.plain && strings.EqualFold(string(name), "Transfer-Encoding") {
+	if name, _, _ := bytes.Cut(line, []byte(":")); head.noCodings && strings.EqualFold(string(name), "Transfer-Encoding") {
 		return false, fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrInvalid)
 	}
 	return false, checkField(line)
@@ -62,17 +62,16 @@
 	if !ok || major != 1 || len(code) != len("200") || err != nil {
 		return errNotHTTP
 	}
-	head.plain = minor == 0
+	head.noCodings = minor == 0
 	if !httpguts.ValidHeaderFieldValue(rest) {
 		return fmt.Errorf("%w: status line %.80q", ErrInvalid, line)
 	}
 	return checkStatus(int(status))
 }
 
-// The status codes of final responses, and the lowest of interim ones.
+// The lowest status code of interim responses, and the highest of final ones.
 const (
 	minInterimStatus = 100
-	minFinalStatus   = 200
 	maxFinalStatus   = 599
 )
 
