validator: errors name the fault and the remedy, and no values

The text of an invalid line went into the log; a folded line, or a line with a control byte, may hold a cookie or a key. The error now names the field or the kind of fault.

--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -22,11 +22,11 @@
 
 // ErrInvalid is the error for a response that violates HTTP. Nothing that follows on its
 // connection can be trusted.
-var ErrInvalid = errors.New("the answer is not valid HTTP")
+var ErrInvalid = errors.New("the answer is not valid HTTP; check the server that sent it")
 
 // errNotHTTP is the error for bytes that are no response at all. The attempt is treated
 // as one whose connection broke.
-var errNotHTTP = errors.New("the answer does not begin with an HTTP/1 status line")
+var errNotHTTP = errors.New("the answer does not begin with an HTTP/1 status line; check that the address is a backend server's")
 
 // Head checks the head of a response line by line. The zero value expects the status
 // line.
@@ -64,7 +64,7 @@
 	}
 	head.noCodings = minor == 0
 	if !httpguts.ValidHeaderFieldValue(rest) {
-		return fmt.Errorf("%w: status line %.80q", ErrInvalid, line)
+		return fmt.Errorf("%w: a control byte in the status line", ErrInvalid)
 	}
 	return checkStatus(int(status))
 }
@@ -84,12 +84,24 @@
 	return nil
 }
 
-// checkField checks a line with a field. A line that continues the field before it has
-// no valid name.
+// checkField checks a line with a field. Its errors don't contain values, which may be
+// secret.
 func checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
-		return fmt.Errorf("%w: field %.80q", ErrInvalid, line)
+	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		return fmt.Errorf("%w: a line continues the field before it", ErrInvalid)
+	case !ok:
+		return fmt.Errorf("%w: a line has no colon", ErrInvalid)
+	case !httpguts.ValidHeaderFieldValue(string(value)):
+		return fmt.Errorf("%w: a control byte in the value of field %.40q", ErrInvalid, name)
+	}
+	return checkName(string(name))
+}
+
+func checkName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return fmt.Errorf("%w: field name %.40q", ErrInvalid, name)
 	}
 	return nil
 }
@@ -98,8 +110,8 @@
 // parsed. It can't find folded lines.
 func CheckHead(response *http.Response) error {
 	for name := range response.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return fmt.Errorf("%w: field %.80q", ErrInvalid, name)
+		if err := checkName(name); err != nil {
+			return err
 		}
 	}
 	return checkStatus(response.StatusCode)
