dispatcher: the log has a line for each answer that is cut

An answer whose body ended early left only the line "answered" in the log, so that operators could not tell which endpoint had cut it. "answer cut" names the endpoint, the cause, the bytes that had arrived and the error, except where the caller or a faster attempt ended it. TestPartThenSilenceIsNotComplete counts the lines.

--- a/internal/acceptor/header_then_silence_test.go
+++ b/internal/acceptor/header_then_silence_test.go
@@ -24,6 +24,8 @@
 	length int64
 	// refusals counts the log lines of refusals that name a request.
 	refusals atomic.Int64
+	// cuts counts the log lines of answers that were cut.
+	cuts atomic.Int64
 }
 
 // Acquire returns a slot.
@@ -76,8 +78,11 @@
 // Routine does nothing.
 func (silentEndpoint *silentEndpoint) Routine(string, ...any) {}
 
-// Failure counts refusals.
+// Failure counts refusals and cut answers.
 func (silentEndpoint *silentEndpoint) Failure(message string, details ...any) {
+	if message == "answer cut" {
+		silentEndpoint.cuts.Add(1)
+	}
 	if message == "refused" && details[0] == "request" && details[1] != "" {
 		silentEndpoint.refusals.Add(1)
 	}
@@ -144,7 +149,8 @@
 func TestPartThenSilenceIsNotComplete(t *testing.T) {
 	for _, length := range []int64{-1, 1 << 20} {
 		for _, target := range []string{"/part", "/partbreak"} {
-			fixture := newSilentFixture(t, &silentEndpoint{length: length})
+			endpoint := &silentEndpoint{length: length}
+			fixture := newSilentFixture(t, endpoint)
 			fixture.send(t, get(target))
 			if response, body, err := fixture.read(t, http.MethodGet); err == nil {
 				t.Errorf("%s, answer of length %d: got %d, %q as a complete answer", target, length, response.StatusCode, body)
@@ -152,6 +158,9 @@
 			if rest, err := io.ReadAll(fixture.reader); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) || len(rest) > 0 {
 				t.Errorf("%s, answer of length %d: got %q, %v behind the answer", target, length, rest, err)
 			}
+			if logged := endpoint.cuts.Load(); logged != 1 {
+				t.Errorf("%s, answer of length %d: %d log lines of the cut", target, length, logged)
+			}
 		}
 	}
 }
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -29,6 +29,10 @@
 			exchange.complete(answer, tracked.bytes)
 			return
 		}
+		if failure.cause != Cancelled {
+			exchange.dispatcher.journal.Failure("answer cut", "request", exchange.call.id, "endpoint", answer.endpoint,
+				"cause", failure.cause.String(), "bytes", tracked.bytes, "error", failure.err)
+		}
 		exchange.fail(failure)
 	}
 	answer.body = tracked
