sender, validator: a whole answer stays whole if its upload times out

Cause: a time-out gives a write the same error whether or not the endpoint had ended its side, unlike a reset.

Change: at the end of such a body the sender also asks the kernel whether the endpoint ended its side: its counter of received bytes then is one above the bytes read. Where the counter is not available, the error of the write decides as before.

Evidence: TestAnswerDuringUpload has the two time-outs.

--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -40,7 +40,8 @@
 	if err != io.EOF {
 		return count, err
 	}
-	if err := validator.CheckEnd(unsizedBody.connection.endWrites()); err != nil {
+	connection := unsizedBody.connection
+	if err := validator.CheckEnd(connection.endWrites(), connection.peerEnded()); err != nil {
 		return count, err
 	}
 	return count, io.EOF
--- a/internal/sender/body_test.go
+++ b/internal/sender/body_test.go
@@ -31,6 +31,8 @@
 	finish   func(conn *net.TCPConn)
 	// received is closed when the connection may end.
 	received chan struct{}
+	// uploaded is closed when the upload has ended.
+	uploaded chan struct{}
 }
 
 func startEarlyBackend(t *testing.T, answer string, finish func(conn *net.TCPConn)) *earlyBackend {
@@ -40,7 +42,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	earlyBackend := &earlyBackend{listener: listener, answer: answer, finish: finish, received: make(chan struct{})}
+	earlyBackend := &earlyBackend{
+		listener: listener, answer: answer, finish: finish, received: make(chan struct{}), uploaded: make(chan struct{}),
+	}
 	go earlyBackend.run()
 	return earlyBackend
 }
@@ -57,6 +61,7 @@
 	_, _ = io.WriteString(conn, earlyBackend.answer)
 	<-earlyBackend.received
 	earlyBackend.finish(conn.(*net.TCPConn))
+	<-earlyBackend.uploaded
 }
 
 func (earlyBackend *earlyBackend) endpoint() definer.Endpoint {
@@ -88,6 +93,8 @@
 
 // The ways in which an endpoint ends a connection.
 var (
+	readNothing       = func(*net.TCPConn) {}
+	halfClose         = func(conn *net.TCPConn) { _ = conn.CloseWrite() }
 	halfCloseAndReset = func(conn *net.TCPConn) {
 		_ = conn.CloseWrite()
 		reset(conn)
@@ -121,16 +128,19 @@
 		"unsized, half closed, the caller leaves": {
 			answer: unsized + "body", finish: halfCloseAndRead, callerErr: errors.New("the caller left"), whole: true,
 		},
-		"sized, reset behind the last byte":  {answer: sized + "body", finish: reset, whole: true},
-		"sized, reset before the last byte":  {answer: sized + "bod", finish: reset},
-		"sized, closed before the last byte": {answer: sized + "bod", finish: halfCloseAndReset},
-		"chunks, reset behind the last line": {answer: chunked + "0\r\n\r\n", finish: reset, whole: true},
-		"chunks, reset in the last line":     {answer: chunked + "0\r\n\r", finish: reset},
-		"chunks, reset before the last one":  {answer: chunked, finish: reset},
-		"chunks, closed before the last one": {answer: chunked, finish: halfCloseAndReset},
+		"unsized, the upload times out":              {answer: unsized + "body", finish: readNothing},
+		"unsized, half closed, the upload times out": {answer: unsized + "body", finish: halfClose, whole: true},
+		"sized, reset behind the last byte":          {answer: sized + "body", finish: reset, whole: true},
+		"sized, reset before the last byte":          {answer: sized + "bod", finish: reset},
+		"sized, closed before the last byte":         {answer: sized + "bod", finish: halfCloseAndReset},
+		"chunks, reset behind the last line":         {answer: chunked + "0\r\n\r\n", finish: reset, whole: true},
+		"chunks, reset in the last line":             {answer: chunked + "0\r\n\r", finish: reset},
+		"chunks, reset before the last one":          {answer: chunked, finish: reset},
+		"chunks, closed before the last one":         {answer: chunked, finish: halfCloseAndReset},
 	} {
 		for framing, length := range map[string]int64{"length": 1 << 40, "chunks": -1} {
 			t.Run(name+", upload by "+framing, func(t *testing.T) {
+				t.Parallel()
 				for _, late := range []bool{false, true} {
 					earlyBackend := startEarlyBackend(t, test.answer, test.finish)
 					body := &endlessBody{ended: make(chan struct{}), err: test.callerErr}
@@ -176,6 +186,7 @@
 	close(earlyBackend.received)
 	close(body.ended)
 	<-exchange.upload.done
+	close(earlyBackend.uploaded)
 	if late {
 		response, err := connection.readHead(http.MethodPost, 4096)
 		if err != nil {
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -43,8 +43,8 @@
 	mu sync.Mutex
 	// writeErr is the first error of a write.
 	writeErr error
-	// written counts the bytes sent.
-	written int64
+	// written counts the bytes sent, and received those read.
+	written, received int64
 	// key is the connection's key in the pool.
 	key string
 	// lastUsed is when the connection last completed a response.
@@ -98,6 +98,7 @@
 	}
 	count, err := connection.Conn.Read(buffer[:min(int64(len(buffer)), connection.readLimit)])
 	connection.readLimit -= int64(count)
+	connection.received += int64(count)
 	return count, err
 }
 
@@ -122,6 +123,27 @@
 	return connection.writeErr
 }
 
+// peerEnded reports whether the endpoint is known to have ended its side in order. It
+// holds once all bytes are read: the kernel counts the end as one more received byte, as
+// its counter is the advance of the sequence number (tcpEStatsAppHCThruOctetsReceived of
+// RFC 4898).
+func (connection *connection) peerEnded() bool {
+	conn, ok := connection.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err == nil && info.Bytes_received == uint64(connection.received)+1
+	})
+	return err == nil && ended
+}
+
 // interrupt makes pending and later reads and writes fail.
 func (connection *connection) interrupt() { _ = connection.SetDeadline(time.Unix(1, 0)) }
 
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -133,12 +133,16 @@
 
 // CheckEnd returns nil if a body that ends with its connection is whole, that is, if the
 // peer ended the connection in order. WriteErr is the first error of a write on the
-// connection, or nil.
+// connection, or nil. PeerEnded is true if the peer is known to have ended its side.
 //
-// A socket reports a reset once, to the first call. If a write gets it, reads find the end
-// of the connection as if it were in order. After a reset by a peer that had ended its side
-// in order before, Linux reports EPIPE to the write instead.
-func CheckEnd(writeErr error) error {
+// A socket reports a failure once, to the first call. If a write gets it, reads find the
+// end of the connection as if it were in order. After a reset by a peer that had ended its
+// side in order before, Linux reports EPIPE to the write instead; a time-out has the same
+// error in both cases.
+func CheckEnd(writeErr error, peerEnded bool) error {
+	if peerEnded {
+		return nil
+	}
 	for _, harmless := range []error{nil, syscall.EPIPE, os.ErrDeadlineExceeded, net.ErrClosed} {
 		if errors.Is(writeErr, harmless) {
 			return nil
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -31,9 +31,12 @@
 		if err != nil {
 			err = &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", err)}
 		}
-		if whole := CheckEnd(err) == nil; whole != test.whole {
+		if whole := CheckEnd(err, false) == nil; whole != test.whole {
 			t.Errorf("after %v the body is whole: %v, want %v", err, whole, test.whole)
 		}
+		if CheckEnd(err, true) != nil {
+			t.Errorf("after %v the body is not whole, though the peer ended its side", err)
+		}
 	}
 }
 
