sender, validator, dispatcher: usual terms in the code of broken answers

Change: truncated, complete, space, no length and close-delimited instead; the log line is "answer truncated". The number of quoted characters and the deadline that has passed have a name. No check changes.

--- a/internal/acceptor/header_then_silence_test.go
+++ b/internal/acceptor/header_then_silence_test.go
@@ -24,8 +24,8 @@
 	length int64
 	// refusals counts the log lines of refusals that name a request.
 	refusals atomic.Int64
-	// cuts counts the log lines of answers that were cut.
-	cuts atomic.Int64
+	// truncations counts the log lines of truncated answers.
+	truncations atomic.Int64
 }
 
 // Acquire returns a slot.
@@ -78,10 +78,10 @@
 // Routine does nothing.
 func (silentEndpoint *silentEndpoint) Routine(string, ...any) {}
 
-// Failure counts refusals and cut answers.
+// Failure counts refusals and truncated answers.
 func (silentEndpoint *silentEndpoint) Failure(message string, details ...any) {
-	if message == "answer cut" {
-		silentEndpoint.cuts.Add(1)
+	if message == "answer truncated" {
+		silentEndpoint.truncations.Add(1)
 	}
 	if message == "refused" && details[0] == "request" && details[1] != "" {
 		silentEndpoint.refusals.Add(1)
@@ -158,8 +158,8 @@
 			if rest, err := io.ReadAll(fixture.reader); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) || len(rest) > 0 {
 				t.Errorf("%s, answer of length %d: got %q, %v behind the answer", target, length, rest, err)
 			}
-			if logged := endpoint.cuts.Load(); logged != 1 {
-				t.Errorf("%s, answer of length %d: %d log lines of the cut", target, length, logged)
+			if logged := endpoint.truncations.Load(); logged != 1 {
+				t.Errorf("%s, answer of length %d: %d log lines of the truncation", target, length, logged)
 			}
 		}
 	}
--- a/internal/commander/broken_answer_test.go
+++ b/internal/commander/broken_answer_test.go
@@ -11,15 +11,15 @@
 	"github.com/chivespool/chivespool/internal/presenter"
 )
 
-// TestBrokenAnswers checks that commands report an answer that is cut, or whose status
+// TestBrokenAnswers checks that commands report an answer that is truncated, or whose status
 // is none, as an error.
 func TestBrokenAnswers(t *testing.T) {
 	for name, text := range map[string]string{
-		"no length, cut":  "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"host":"nbo-a-1","hosts":14`,
-		"no length, none": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
-		"length, cut":     "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n" + `{"host":"nbo-a-1","hosts":14`,
-		"chunks, cut":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1c\r\n" + `{"host":"nbo-a-1","hosts":14`,
-		"status 000":      "HTTP/1.1 000 Odd\r\nContent-Length: 18\r\n\r\n" + `{"host":"nbo-a-1"}`,
+		"no length, truncated": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"host":"nbo-a-1","hosts":14`,
+		"no length, none":      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"length, truncated":    "HTTP/1.1 200 OK\r\nContent-Length: 80\r\n\r\n" + `{"host":"nbo-a-1","hosts":14`,
+		"chunks, truncated":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1c\r\n" + `{"host":"nbo-a-1","hosts":14`,
+		"status 000":           "HTTP/1.1 000 Odd\r\nContent-Length: 18\r\n\r\n" + `{"host":"nbo-a-1"}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
@@ -34,7 +34,7 @@
 			defer server.Close()
 			var answer presenter.Answer
 			if err := new(client).call(t.Context(), http.MethodGet, server.URL, nil, "", &answer); err == nil {
-				t.Error("the client takes the answer for whole")
+				t.Error("the client accepts the answer")
 			}
 			var output bytes.Buffer
 			arguments := []string{"chivesctl", "beliefs", "--gateway", strings.TrimPrefix(server.URL, "http://")}
--- a/internal/dispatcher/exchange.go
+++ b/internal/dispatcher/exchange.go
@@ -30,7 +30,7 @@
 			return
 		}
 		if failure.cause != Cancelled {
-			exchange.dispatcher.journal.Failure("answer cut", "request", exchange.call.id, "endpoint", answer.endpoint,
+			exchange.dispatcher.journal.Failure("answer truncated", "request", exchange.call.id, "endpoint", answer.endpoint,
 				"cause", failure.cause.String(), "bytes", tracked.bytes, "error", failure.err)
 		}
 		exchange.fail(failure)
--- a/internal/messenger/frame_test.go
+++ b/internal/messenger/frame_test.go
@@ -7,8 +7,8 @@
 	"github.com/chivespool/chivespool/internal/encoder"
 )
 
-// TestCutFrames checks that a message of a peer that is cut after any byte is an error.
-func TestCutFrames(t *testing.T) {
+// TestTruncatedFrames checks that a message of a peer that is truncated after any byte is an error.
+func TestTruncatedFrames(t *testing.T) {
 	digest := &encoder.Digest{Sender: "peer", Members: []*encoder.Member{{Name: "self"}, {Name: "other"}}}
 	var frame bytes.Buffer
 	if err := writeFrame(&frame, &encoder.Reply{Body: &encoder.Reply_Digest{Digest: digest}}, maxFrameBytes); err != nil {
@@ -16,7 +16,7 @@
 	}
 	for size := range frame.Len() {
 		if err := readFrame(bytes.NewReader(frame.Bytes()[:size]), new(encoder.Reply), maxFrameBytes); err == nil {
-			t.Errorf("a frame cut after %d of %d bytes is read as whole", size, frame.Len())
+			t.Errorf("a frame truncated after %d of %d bytes is accepted", size, frame.Len())
 		}
 	}
 }
--- a/internal/sender/body.go
+++ b/internal/sender/body.go
@@ -19,7 +19,7 @@
 			connection: connection, chunks: httputil.NewChunkedReader(connection.reader), maxTrailerBytes: maxTrailerBytes,
 		}
 	default:
-		response.Body = &unsizedBody{connection: connection}
+		response.Body = &closeDelimitedBody{connection: connection}
 	}
 }
 
@@ -28,19 +28,19 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
-// unsizedBody is a body that ends with its connection.
-type unsizedBody struct {
+// closeDelimitedBody is a body that ends with its connection.
+type closeDelimitedBody struct {
 	connection *connection
 }
 
 // Read reads the body. At its end, it ends the writes on the connection: one of them may
-// have received the error that shows that the body is cut.
-func (unsizedBody *unsizedBody) Read(buffer []byte) (int, error) {
-	count, err := unsizedBody.connection.reader.Read(buffer)
+// have received the error that shows that the body is truncated.
+func (closeDelimitedBody *closeDelimitedBody) Read(buffer []byte) (int, error) {
+	count, err := closeDelimitedBody.connection.reader.Read(buffer)
 	if err != io.EOF {
 		return count, err
 	}
-	connection := unsizedBody.connection
+	connection := closeDelimitedBody.connection
 	if err := validator.CheckEnd(connection.endWrites(), connection.peerEnded()); err != nil {
 		return count, err
 	}
@@ -48,7 +48,7 @@
 }
 
 // Close does nothing; the exchange closes the connection.
-func (unsizedBody *unsizedBody) Close() error { return nil }
+func (closeDelimitedBody *closeDelimitedBody) Close() error { return nil }
 
 // chunkedBody is a body in chunks. It discards the trailer section.
 type chunkedBody struct {
@@ -59,7 +59,7 @@
 	ended bool
 }
 
-// Read reads the body. The body is whole only with a valid trailer section behind its
+// Read reads the body. The body is complete only with a valid trailer section after its
 // last chunk.
 func (chunkedBody *chunkedBody) Read(buffer []byte) (int, error) {
 	if chunkedBody.ended {
--- a/internal/sender/body_test.go
+++ b/internal/sender/body_test.go
@@ -105,38 +105,38 @@
 	}
 )
 
-// TestAnswerDuringUpload guards against an answer that a reset has cut looking complete,
-// and against a whole one failing. The socket reports a reset once: if a write of the
+// TestAnswerDuringUpload guards against an answer that a reset has truncated looking complete,
+// and against a complete one failing. The socket reports a reset once: if a write of the
 // request's body gets it, a read finds the end of the connection. The test reads the end
 // of the answer, or all of it, only after that write.
 func TestAnswerDuringUpload(t *testing.T) {
 	const (
-		unsized = "HTTP/1.1 200 OK\r\n\r\n"
-		sized   = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
-		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+		noLength   = "HTTP/1.1 200 OK\r\n\r\n"
+		withLength = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+		chunked    = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
 	)
 	for name, test := range map[string]struct {
 		answer string
 		finish func(conn *net.TCPConn)
 		// callerErr ends the body of the request.
 		callerErr error
-		whole     bool
+		complete  bool
 	}{
-		"unsized, reset":                   {answer: unsized + "body", finish: reset},
-		"unsized and empty, reset":         {answer: unsized, finish: reset},
-		"unsized, half closed, then reset": {answer: unsized + "body", finish: halfCloseAndReset, whole: true},
-		"unsized, half closed, the caller leaves": {
-			answer: unsized + "body", finish: halfCloseAndRead, callerErr: errors.New("the caller left"), whole: true,
+		"no length, reset":                   {answer: noLength + "body", finish: reset},
+		"no length and empty, reset":         {answer: noLength, finish: reset},
+		"no length, half closed, then reset": {answer: noLength + "body", finish: halfCloseAndReset, complete: true},
+		"no length, half closed, the caller leaves": {
+			answer: noLength + "body", finish: halfCloseAndRead, callerErr: errors.New("the caller left"), complete: true,
 		},
-		"unsized, the upload times out":              {answer: unsized + "body", finish: readNothing},
-		"unsized, half closed, the upload times out": {answer: unsized + "body", finish: halfClose, whole: true},
-		"sized, reset behind the last byte":          {answer: sized + "body", finish: reset, whole: true},
-		"sized, reset before the last byte":          {answer: sized + "bod", finish: reset},
-		"sized, closed before the last byte":         {answer: sized + "bod", finish: halfCloseAndReset},
-		"chunks, reset behind the last line":         {answer: chunked + "0\r\n\r\n", finish: reset, whole: true},
-		"chunks, reset in the last line":             {answer: chunked + "0\r\n\r", finish: reset},
-		"chunks, reset before the last one":          {answer: chunked, finish: reset},
-		"chunks, closed before the last one":         {answer: chunked, finish: halfCloseAndReset},
+		"no length, the upload times out":              {answer: noLength + "body", finish: readNothing},
+		"no length, half closed, the upload times out": {answer: noLength + "body", finish: halfClose, complete: true},
+		"length, reset after the last byte":            {answer: withLength + "body", finish: reset, complete: true},
+		"length, reset before the last byte":           {answer: withLength + "bod", finish: reset},
+		"length, closed before the last byte":          {answer: withLength + "bod", finish: halfCloseAndReset},
+		"chunks, reset after the last line":            {answer: chunked + "0\r\n\r\n", finish: reset, complete: true},
+		"chunks, reset in the last line":               {answer: chunked + "0\r\n\r", finish: reset},
+		"chunks, reset before the last one":            {answer: chunked, finish: reset},
+		"chunks, closed before the last one":           {answer: chunked, finish: halfCloseAndReset},
 	} {
 		for framing, length := range map[string]int64{"length": 1 << 40, "chunks": -1} {
 			t.Run(name+", upload by "+framing, func(t *testing.T) {
@@ -145,10 +145,10 @@
 					earlyBackend := startEarlyBackend(t, test.answer, test.finish)
 					body := &endlessBody{ended: make(chan struct{}), err: test.callerErr}
 					got, err := earlyBackend.upload(t, body, length, late)
-					if test.whole && (got != "body" || err != nil) {
-						t.Errorf("head read late %v: a whole answer gives %q, %v", late, got, err)
-					} else if !test.whole && err == nil {
-						t.Errorf("head read late %v: an answer that was cut looks complete: %q", late, got)
+					if test.complete && (got != "body" || err != nil) {
+						t.Errorf("head read late %v: a complete answer gives %q, %v", late, got, err)
+					} else if !test.complete && err == nil {
+						t.Errorf("head read late %v: an answer that was truncated looks complete: %q", late, got)
 					}
 				}
 			})
@@ -233,9 +233,9 @@
 	return nil
 }
 
-// TestUnsizedAnswerDuringWrite checks that the end of an answer waits for a write that
+// TestAnswerDuringWrite checks that the end of an answer waits for a write that
 // has not reported its result yet.
-func TestUnsizedAnswerDuringWrite(t *testing.T) {
+func TestAnswerDuringWrite(t *testing.T) {
 	conn := &slowConn{
 		unread:  strings.NewReader("HTTP/1.1 200 OK\r\n\r\nhalf"),
 		writing: make(chan struct{}), deadline: make(chan struct{}),
@@ -248,7 +248,7 @@
 	upload := newUpload(connection, strings.NewReader("x"), 1)
 	go upload.run()
 	if got, err := io.ReadAll(response.Body); err == nil {
-		t.Errorf("an answer cut by a reset is read as complete: %q", got)
+		t.Errorf("an answer truncated by a reset is read as complete: %q", got)
 	}
 	_ = conn.SetWriteDeadline(time.Now())
 	upload.wait()
--- a/internal/sender/connection.go
+++ b/internal/sender/connection.go
@@ -114,10 +114,13 @@
 	return count, err
 }
 
+// passed is a deadline that has passed.
+var passed = time.Unix(1, 0)
+
 // endWrites makes pending and later writes fail, waits for a pending one, and returns the
 // first error of a write.
 func (connection *connection) endWrites() error {
-	_ = connection.SetWriteDeadline(time.Unix(1, 0)) // It fails only on a closed connection.
+	_ = connection.SetWriteDeadline(passed) // It fails only on a closed connection.
 	connection.mu.Lock()
 	defer connection.mu.Unlock()
 	return connection.writeErr
@@ -145,7 +148,7 @@
 }
 
 // interrupt makes pending and later reads and writes fail.
-func (connection *connection) interrupt() { _ = connection.SetDeadline(time.Unix(1, 0)) }
+func (connection *connection) interrupt() { _ = connection.SetDeadline(passed) }
 
 // head returns the start line and the header of a request with a body of length
 // bytes, or of unknown length if length is -1.
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -1,9 +1,9 @@
 // Package validator decides whether a response received over HTTP/1.1 is valid and
-// whole: for package sender, which reads the responses of endpoints line by line, and for
+// complete: for package sender, which reads the responses of endpoints line by line, and for
 // the clients that read responses with net/http. It does no I/O.
 //
-// It is stricter than net/http, which accepts names of fields that contain blanks and
-// joins a line that begins with a blank to the field before it.
+// It is stricter than net/http, which accepts names of fields that contain spaces and
+// joins a line that begins with a space to the field before it.
 package validator
 
 import (
@@ -28,6 +28,9 @@
 // as one whose connection broke.
 var errNotHTTP = errors.New("the answer does not begin with an HTTP/1 status line; check that the address is a backend server's")
 
+// maxQuoted is how many characters of an invalid name an error quotes.
+const maxQuoted = 40
+
 // Head checks the head of a response line by line. The zero value expects the status
 // line.
 type Head struct {
@@ -94,14 +97,14 @@
 	case !ok:
 		return fmt.Errorf("%w: a line has no colon", ErrInvalid)
 	case !httpguts.ValidHeaderFieldValue(string(value)):
-		return fmt.Errorf("%w: a control byte in the value of field %.40q", ErrInvalid, name)
+		return fmt.Errorf("%w: a control byte in the value of field %.*q", ErrInvalid, maxQuoted, name)
 	}
 	return checkName(string(name))
 }
 
 func checkName(name string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
-		return fmt.Errorf("%w: field name %.40q", ErrInvalid, name)
+		return fmt.Errorf("%w: field name %.*q", ErrInvalid, maxQuoted, name)
 	}
 	return nil
 }
@@ -131,7 +134,7 @@
 	return false, checkField(line)
 }
 
-// CheckEnd returns nil if a body that ends with its connection is whole, that is, if the
+// CheckEnd returns nil if a body that ends with its connection is complete, that is, if the
 // peer ended the connection in order. WriteErr is the first error of a write on the
 // connection, or nil. PeerEnded is true if the peer is known to have ended its side.
 //
--- a/internal/validator/validator_test.go
+++ b/internal/validator/validator_test.go
@@ -15,8 +15,8 @@
 // connection in order.
 func TestCheckEnd(t *testing.T) {
 	for _, test := range []struct {
-		err   error
-		whole bool
+		err      error
+		complete bool
 	}{
 		{nil, true},
 		{syscall.EPIPE, true},
@@ -31,11 +31,11 @@
 		if err != nil {
 			err = &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", err)}
 		}
-		if whole := CheckEnd(err, false) == nil; whole != test.whole {
-			t.Errorf("after %v the body is whole: %v, want %v", err, whole, test.whole)
+		if complete := CheckEnd(err, false) == nil; complete != test.complete {
+			t.Errorf("after %v the body is complete: %v, want %v", err, complete, test.complete)
 		}
 		if CheckEnd(err, true) != nil {
-			t.Errorf("after %v the body is not whole, though the peer ended its side", err)
+			t.Errorf("after %v the body is not complete, though the peer ended its side", err)
 		}
 	}
 }
@@ -88,7 +88,7 @@
 			t.Errorf("%q: the head has %d bytes, and net/http reads %d", text, size, read)
 		}
 		if err := CheckHead(response); err != nil {
-			t.Errorf("%q: line by line the head is valid, as a whole it is not: %v", text, err)
+			t.Errorf("%q: line by line the head is valid, parsed it is not: %v", text, err)
 		}
 	})
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -172,7 +172,7 @@
 	return response, nil
 }
 
-// errNoLength is the error for a response whose body would be whole wherever it ends.
+// errNoLength is the error for a response whose truncation could not be detected.
 var errNoLength = errors.New("the response has neither a length nor chunks; check that the address is an entry host's")
 
 // checkResponse checks that an entry host can have sent the head of response. Entry hosts
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -209,18 +209,18 @@
 	}
 }
 
-// TestBrokenResponses has the first entry host send a response that is cut or malformed.
+// TestBrokenResponses has the first entry host send a response that is truncated or malformed.
 // Its outcome is unknown, and a request that is not repeatable is not sent again.
 func TestBrokenResponses(t *testing.T) {
 	const refused = "HTTP/1.1 503 Busy\r\nContent-Type: " + ProblemType + "\r\nProxy-Status: entry-1\r\n"
 	for name, text := range map[string]string{
 		"status 000":             "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok",
 		"status 600":             "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
-		"blank in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
-		"blank before the colon": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 1\r\n\r\nok",
+		"space in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+		"space before the colon": "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 1\r\n\r\nok",
 		"no length":              "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
-		"refusal, blank":         refused + "X Odd: 1\r\nContent-Length: 34\r\n\r\n" + `{"kind":"host-leaving","ran":"no"}`,
-		"refusal, cut":           refused + "Transfer-Encoding: chunked\r\n\r\n1f\r\n" + `{"kind":"host-leaving","ran":"n`,
+		"refusal, space":         refused + "X Odd: 1\r\nContent-Length: 34\r\n\r\n" + `{"kind":"host-leaving","ran":"no"}`,
+		"refusal, truncated":     refused + "Transfer-Encoding: chunked\r\n\r\n1f\r\n" + `{"kind":"host-leaving","ran":"n`,
 		"refusal, no length":     refused + "Connection: close\r\n\r\n" + `{"kind":"host-leaving","ran":"no"}`,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -245,7 +245,7 @@
 }
 
 // TestEmptyResponses checks that responses that have no body, and so no length, are not
-// taken for ones that were cut.
+// treated as truncated.
 func TestEmptyResponses(t *testing.T) {
 	for method, status := range map[string]int{http.MethodHead: http.StatusOK, http.MethodGet: http.StatusNoContent, http.MethodPost: http.StatusNotModified} {
 		entryHost := startEntryHost(t, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(status) })
