review: case 11, the check also runs with TROUBLE=0

It returned before the check without trouble, so that this run could not fail. The check itself is as before.

--- a/review/stand3/bad_release.go
+++ b/review/stand3/bad_release.go
@@ -162,9 +162,6 @@
 	if day.replaced.IsZero() {
 		return false, fmt.Errorf("the endpoints were not replaced in time")
 	}
-	if !bench.trouble {
-		return false, nil
-	}
 	// Only crashes after the last endpoint of the old version has ended are counted: from
 	// then on the report crashes each endpoint that runs it.
 	first := slices.IndexFunc(day.crashes, func(at time.Time) bool { return at.After(day.replaced) })
